Guards are taken with the values that they guard: no start is overwritten

Cause: the leader writes moves of many machines in several transactions. Their values were made at once, their guards read when each transaction's turn came, seconds later under a spent write budget. Ruled out: unknown outcomes of transactions, reports under an older token.

--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -107,33 +107,34 @@
   /** Single-key changes, as many to a transaction as fit; one that fails does not hold up the others. */
   private async commitEach(ops: readonly Op[], urgency: Urgency): Promise<boolean> {
     const { txnOps } = this.ctx.state.settings;
+    // Taken before the first wait: a value goes with the versions that it was made from. Were the guards of a later
+    // transaction read when its turn comes, it would overwrite what was committed in between, such as a start.
+    const guards = ops.map((o) => this.guardsOf(o));
     let ok = true;
     for (let i = 0; i < ops.length;) {
       const chunk: Op[] = [];
+      const guarded = new Map<string, Guard>();
       let bytes = 500;
       for (; i < ops.length && chunk.length < txnOps; i++) {
         bytes += JSON.stringify(ops[i]).length + 100;
         if (chunk.length > 0 && bytes > 60_000) break;
         chunk.push(ops[i]!);
+        for (const g of guards[i]!) guarded.set(g.key, g);
       }
-      ok = (await this.commit(chunk, this.guardsOf(chunk), urgency)) && ok;
+      ok = (await this.commit(chunk, [...guarded.values()], urgency)) && ok;
     }
     return ok;
   }
 
   /**
-   * Each key written, and for a machine the slice it is in: the floor that a move gives it is above its token
+   * The key written, and for a machine the slice it is in: the floor that a move gives it is above its token
    * only as long as that slice has not got another holder.
    */
-  private guardsOf(ops: readonly Op[]): Guard[] {
+  private guardsOf(o: Op): Guard[] {
     const { ctx } = this;
-    const keys = new Set<string>();
-    for (const o of ops) {
-      keys.add(o.key);
-      const before = ctx.view.entries.get(o.key)?.value as { owner?: string } | undefined;
-      if (o.key.startsWith('p/m/') && before?.owner !== undefined) keys.add(key.slice(before.owner));
-    }
-    return [...keys].map((k) => ctx.guard(k));
+    const before = ctx.view.entries.get(o.key)?.value as { owner?: string } | undefined;
+    const slice = o.key.startsWith('p/m/') ? before?.owner : undefined;
+    return [ctx.guard(o.key), ...(slice === undefined ? [] : [ctx.guard(key.slice(slice))])];
   }
 
   private live(): LiveNode[] {
--- a/test/sim.test.ts
+++ b/test/sim.test.ts
@@ -1,15 +1,16 @@
 // Seeded random runs of whole controllers among stand-ins. SIM_SEED repeats one run, SIM_RUNS sets how many.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Sim } from './sim/run.js';
+import { GROWN, SMALL, Sim, type Size } from './sim/run.js';
 
 const only = process.env['SIM_SEED'];
 const runs = Number(process.env['SIM_RUNS'] ?? 12);
+const GROWN_RUNS = Number(process.env['SIM_GROWN'] ?? 3);
 const seeds = only === undefined ? [...Array(runs).keys()].map((i) => i + 1) : [Number(only)];
 
-for (const seed of seeds) {
-  test(`the rules hold through random troubles, seed ${seed}`, async () => {
-    const sim = new Sim(seed);
+const run = (seed: number, size: Size, label: string) => {
+  test(`the rules hold through random troubles, ${label}, seed ${seed}`, async () => {
+    const sim = new Sim(seed, size);
     sim.troubles(70_000);
     try {
       await sim.world.runUntil(140_000);
@@ -28,4 +29,7 @@
       `seed ${seed}: not done long after the last trouble`,
     );
   });
-}
+};
+
+for (const seed of seeds) run(seed, SMALL, 'small');
+for (const seed of seeds.slice(0, GROWN_RUNS)) run(seed, GROWN, 'grown');
--- a/test/sim/fleet.ts
+++ b/test/sim/fleet.ts
@@ -279,6 +279,7 @@
     readonly nodes: readonly string[],
     readonly limits: Limits,
     private readonly quota: ReadonlyMap<string, number>,
+    private readonly perZone: number,
     readonly toNode: (w: Worker, node: string, body: Json, done: (r: Reply) => void) => void,
   ) {}
 
@@ -415,7 +416,7 @@
     if (known !== undefined) return { status: 200, body: { tellers: known } };
     const zone = String(b['vault']);
     const used = [...this.machines.values()].filter((m) => m.zone === zone).length;
-    const n = Math.min(Number(b['howMany']), 6 - used);
+    const n = Math.min(Number(b['howMany']), this.perZone - used);
     if (n <= 0) return { status: 503, body: { error: 'no capacity' } };
     const names: string[] = [];
     for (let i = 0; i < n; i++) names.push(this.add(zone, b['loaner'] === true, this.world.int(500, 6000)));
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -11,7 +11,7 @@
 import * as wire from '../../src/io/wire.js';
 import { submission } from '../samples.js';
 import { Fleet, type Limits, type Submitted } from './fleet.js';
-import { StateService } from './state.js';
+import { StateService, type Budget } from './state.js';
 import { ProcessClock, World } from './world.js';
 
 // A cancellation is said only once nothing of the job is left, so next to no time is allowed here.
@@ -23,6 +23,34 @@
   ['blue', 12],
   ['green', 20],
 ]);
+
+/** How large a run is; the teams' limits grow with it. */
+export interface Size extends Budget {
+  readonly times: number;
+  readonly perZone: number;
+  /** Users submit a job about this often. */
+  readonly everyMs: number;
+  readonly mostTasks: number;
+}
+export const SMALL: Size = {
+  times: 1,
+  perZone: 6,
+  everyMs: 1900,
+  mostTasks: 9,
+  rps: 300,
+  writeRps: 200,
+  txnOps: 8,
+};
+/** Moves, rentals and starts take several transactions each, and the write budget is often spent. */
+export const GROWN: Size = {
+  times: 8,
+  perZone: 48,
+  everyMs: 1900,
+  mostTasks: 60,
+  rps: 120,
+  writeRps: 20,
+  txnOps: 4,
+};
 type Json = Record<string, unknown>;
 
 class Node {
@@ -92,9 +120,9 @@
       zones: ZONES.map(zoneName),
       teams: [...TEAMS].map(([name, cards]) => ({
         name: teamName(name),
-        guarantee: [0, 0, 6_000_000],
+        guarantee: [0, 0, sim.size.times * 6_000_000],
         limitCpu: null,
-        limitGpu: cards * 1_000_000,
+        limitGpu: cards * sim.size.times * 1_000_000,
       })),
       objectives: [],
       workers: {
@@ -104,7 +132,12 @@
         gang_peer_s: LIMITS.gangPeerS,
         cancel_s: LIMITS.cancelS,
       },
-      stateLimits: { rps: 300, write_rps: 200, value_kb: 8, txn_ops: 8 },
+      stateLimits: {
+        rps: sim.size.rps,
+        write_rps: sim.size.writeRps,
+        value_kb: 8,
+        txn_ops: sim.size.txnOps,
+      },
       cloudLimits: { rps: 5, list_lag_s: 2 },
       limits: { cpu: 1, ram_mb: 100, max_connections: 100 },
     };
@@ -202,10 +235,14 @@
   private jobs = 0;
   answers = 0;
 
-  constructor(seed: number) {
+  constructor(
+    seed: number,
+    readonly size: Size = SMALL,
+  ) {
     this.world = new World(seed);
-    this.state = new StateService(this.world);
-    this.fleet = new Fleet(this.world, NODES, LIMITS, TEAMS, (w, node, body, done) => {
+    this.state = new StateService(this.world, size);
+    const quota = new Map([...TEAMS].map(([team, cards]) => [team, cards * size.times]));
+    this.fleet = new Fleet(this.world, NODES, LIMITS, quota, size.perZone, (w, node, body, done) => {
       const n = this.nodes.get(node)!;
       const arrive = () => {
         if (n.cut.has('workers') || w.cutFrom.has(node)) {
@@ -257,7 +294,8 @@
     const { world } = this;
     const next = () => {
       if (world.now < 75_000) this.submit();
-      world.after(world.int(300, 3500), next);
+      const { everyMs } = this.size;
+      world.after(world.int(Math.round(everyMs / 6), Math.round((everyMs * 11) / 6)), next);
     };
     next();
   }
@@ -277,7 +315,8 @@
   private submit(): void {
     const { world } = this;
     const kind = world.pick(['sweep', 'sweep', 'ensemble', 'daemon']);
-    const tasks = world.int(1, kind === 'sweep' ? 9 : 4);
+    const most = this.size.mostTasks;
+    const tasks = world.int(1, kind === 'sweep' ? most : Math.ceil(most / 3));
     const id = `wk-${String(++this.jobs).padStart(6, '0')}`;
     const spread = kind === 'daemon' && world.chance(0.5);
     const body = submission({
--- a/test/sim/state.ts
+++ b/test/sim/state.ts
@@ -7,6 +7,11 @@
   rev: number;
   lease: number | undefined;
 }
+export interface Budget {
+  readonly rps: number;
+  readonly writeRps: number;
+  readonly txnOps: number;
+}
 interface Lease {
   ttl: number;
   until: number;
@@ -21,8 +26,16 @@
   private nextLease = 1;
   private log: { key: string; rev: number; value: unknown }[] = [];
   private watchers = new Set<() => void>();
+  /** What is left of the budgets, as at `at`. */
+  private left: { requests: number; writes: number; at: number };
+  /** What was asked for, by kind. */
+  readonly counts = { requests: 0, writes: 0, limited: 0 };
 
-  constructor(private readonly world: World) {
+  constructor(
+    private readonly world: World,
+    private readonly budget: Budget,
+  ) {
+    this.left = { requests: budget.rps, writes: budget.writeRps, at: 0 };
     const tick = () => {
       this.expire();
       world.after(50, tick);
@@ -58,9 +71,29 @@
     for (const w of [...this.watchers]) w();
   }
 
+  /** False where the budget is spent: bursts of one second's worth are allowed. */
+  private take(writes: number): boolean {
+    const { left, budget, world } = this;
+    const s = (world.now - left.at) / 1000;
+    left.at = world.now;
+    left.requests = Math.min(budget.rps, left.requests + s * budget.rps);
+    left.writes = Math.min(budget.writeRps, left.writes + s * budget.writeRps);
+    this.counts.requests++;
+    if (left.requests < 1 || left.writes < writes) {
+      this.counts.limited++;
+      return false;
+    }
+    left.requests -= 1;
+    left.writes -= writes;
+    this.counts.writes += writes;
+    return true;
+  }
+
   handle(method: string, url: string, body: unknown): Reply {
     if (this.outage) return { status: 503, body: null };
     this.expire();
+    if (!this.take(((body as Json | undefined)?.['then'] as unknown[] | undefined)?.length ?? 0))
+      return { status: 429, body: null };
     const [path = '', query = ''] = url.split('?');
     const q = new URLSearchParams(query);
     if (path === '/kv') return this.list(q);
@@ -113,7 +146,8 @@
       if (o['hold'] !== undefined && !this.leases.has(o['hold'] as number))
         return { status: 400, body: { error: 'no such lease' } };
     }
-    if (then.length > 8 || guards.length > 32) return { status: 400, body: { error: 'too many' } };
+    if (then.length > this.budget.txnOps || guards.length > this.budget.txnOps * 4)
+      return { status: 400, body: { error: 'too many' } };
     const failed = guards.filter((g) => (this.rows.get(g.path)?.rev ?? 0) !== g.entryRev).map((g) => g.path);
     if (failed.length > 0) return { status: 409, body: { failed, ledgerRev: this.rev } };
     if (then.length === 0) return { status: 200, body: { ledgerRev: this.rev } };
