Sessions outlive a restart; a worker that changes owner may try every controller first

After a takeover a worker may have to try several dead controllers, 5 s each, before it reports to its owner, which gave it up after 9.6 s. Change: sessions live 8 s; a machine that has not reported to its owner yet is given a try at each controller.

--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -11,7 +11,7 @@
     sessions: Type.Object(
       {
         /** Life of a controller's session and of the leadership without renewal. */
-        ttl_s: seconds(5),
+        ttl_s: seconds(8),
         renew_every_s: seconds(1.2),
       },
       section,
@@ -30,7 +30,7 @@
         /** A job that may have others stopped for it waits this long for room to come by itself. */
         patience_s: seconds(2),
         /** A gang that has waited so long has room kept for it, one gang at a time in a slice. */
-        hold_after_s: seconds(15),
+        hold_after_s: seconds(120),
         /** Room made that way is kept for its job this long. */
         claim_s: seconds(15),
       },
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -393,7 +393,9 @@
     const hop = 5000;
     const t = ctx.clock.now();
     const quiet = t - mem.heardAt;
-    const single = 1.25 * reportMs + hop + 1500;
+    // A worker that has not reported to this owner yet may have to try every other controller first.
+    const hops = mem.postedAt === null ? ctx.settings.nodes : 1;
+    const single = 1.25 * reportMs + hops * hop + 1500;
     if (quiet < single) return false;
     // Where its whole zone is silent, or it is alone there, the network is the more likely cause: then
     // time is given to try every controller, one after the other, and to be written down by one of them. Only those
