--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -29,8 +29,11 @@
         h_slack: Type.Number({ minimum: 0, default: 0.6 }),
         /** A job that may have others stopped for it waits this long for room to come by itself. */
         patience_s: seconds(2),
-        /** A gang that has waited so long has room kept for it, one gang at a time in a slice. */
-        hold_after_s: seconds(120),
+        /**
+         * A gang of n tasks that has waited for this divided by the root of n has room kept for it, one gang at a time
+         * in a slice: the larger it is, the less it finds room by chance.
+         */
+        hold_after_s: seconds(240),
         /** Room made that way is kept for its job this long. */
         claim_s: seconds(15),
       },
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -137,9 +137,9 @@
 
   /** Whether room is kept for the gang: owners and the leader have to agree on it. */
   mayHold(job: JobRecord): boolean {
-    return (
-      job.spec.tasks > 1 && this.clock.wall() - job.submitted > this.operator.placement.hold_after_s * 1000
-    );
+    const { tasks } = job.spec;
+    const afterMs = (this.operator.placement.hold_after_s * 1000) / Math.sqrt(tasks);
+    return tasks > 1 && this.clock.wall() - job.submitted > afterMs;
   }
 
   myMachines(): MachineRecord[] {
