Work that may use spot machines leaves empty ordinary ones to waiting gangs

Change: while a gang waits that may not use spot, such work opens no empty ordinary machine in its first minute; the leader rents spot ones for it instead. Ruled out as the cause of late gangs: services (75 machines with two each), sick machines (8).

--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -34,6 +34,8 @@
          * in a slice: the larger it is, the less it finds room by chance.
          */
         hold_after_s: seconds(240),
+        /** Work that may use spot machines leaves empty ordinary ones to gangs that wait, for so long. */
+        yield_s: seconds(60),
         /** Room made that way is kept for its job this long. */
         claim_s: seconds(15),
       },
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -142,6 +142,20 @@
     return tasks > 1 && this.clock.wall() - job.submitted > afterMs;
   }
 
+  /**
+   * While a gang waits that may not use spot machines, work that may leaves it the empty ones of the others; but not
+   * for long, since spot machines may be refused.
+   */
+  yielding(): (job: JobRecord) => boolean {
+    const ledger = this.ledger();
+    const wanted = [...this.view.jobs.values()].some(
+      ({ spec, phase }) =>
+        spec.kind === 'gang' && !spec.spot && phase === 'active' && !ledger.jobs.has(spec.id),
+    );
+    const since = this.clock.wall() - this.operator.placement.yield_s * 1000;
+    return ({ spec, submitted }) => wanted && spec.spot && spec.kind !== 'gang' && submitted > since;
+  }
+
   myMachines(): MachineRecord[] {
     return [...this.view.machines.values()].filter((m) => this.isMine(m));
   }
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -340,6 +340,7 @@
         ctx.substituteOf(m) === null &&
         (m.phase === 'up' || (m.phase === 'booting' && ageS(m) < bootS(m) * operator.fleet.late_boot_factor)),
       movable: (m) => (m.heard ?? 0) >= view.tokenOf(m),
+      yields: ctx.yielding(),
       mayHold: (j) => ctx.mayHold(j),
       reserve: this.reserve(),
       available: (type, zone, spot) => (this.refused.get(`${type} ${zone} ${spot}`) ?? 0) < t,
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -512,6 +512,7 @@
       recordRoom: room,
       most: 64,
       keepWhole: this.gangsAbout(),
+      yields: ctx.yielding(),
       mayHold: (j) => ctx.mayHold(j),
       hSlack: ctx.operator.placement.h_slack,
     });
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -39,6 +39,7 @@
   readonly usable: (m: MachineRecord) => boolean;
   /** Its owner has shown it its token: one that hears nobody must not go from slice to slice, each time anew. */
   readonly movable: (m: MachineRecord) => boolean;
+  readonly yields: (job: JobRecord) => boolean;
   /** A gang that has waited so long that its owner keeps room for it. */
   readonly mayHold: (job: JobRecord) => boolean;
   /** Room to keep beside what waits, as tasks of a class's usual shape. */
@@ -68,6 +69,8 @@
   /** The only zone that they may go to. */
   zone: Zone | null;
   readonly zones: Map<Zone, number>;
+  /** It leaves empty ordinary machines to gangs. */
+  readonly yields: boolean;
 }
 
 interface Bin {
@@ -162,7 +165,9 @@
   const fill = (w: Want, most: number, may: (b: Bin) => boolean, taken?: (b: Bin) => void): number => {
     const { spec } = w;
     if (most <= 0) return 0;
-    const able = open.filter((b) => may(b) && room(b, spec, w.zone) > 0);
+    const able = open.filter(
+      (b) => may(b) && !(w.yields && b.real !== null && b.empty && !b.spot) && room(b, spec, w.zone) > 0,
+    );
     if (able.length > 1) {
       const scores = new Map(able.map((b) => [b, score(b, spec)]));
       able.sort((x, y) => scores.get(y)! - scores.get(x)!);
@@ -272,7 +277,14 @@
     const node = input.owners.get(spec.team)!;
     const placement = ledger.jobs.get(spec.id);
     const zones = new Map<Zone, number>(placement?.zones);
-    const w: Want = { spec, node, tasks: openCount(j, placement), zone: oneZoneOf(spec, zones), zones };
+    const w: Want = {
+      spec,
+      node,
+      tasks: openCount(j, placement),
+      zone: oneZoneOf(spec, zones),
+      zones,
+      yields: input.yields(j),
+    };
     if (spec.kind === 'gang') {
       if (placement !== undefined || fitsLimit(spec) < spec.tasks) continue;
       count(spec, spec.tasks);
@@ -305,7 +317,7 @@
   for (const r of input.reserve) {
     const node = input.owners.get(r.spec.team);
     if (node === undefined) continue;
-    const w: Want = { spec: r.spec, node, tasks: r.tasks, zone: null, zones: new Map() };
+    const w: Want = { spec: r.spec, node, tasks: r.tasks, zone: null, zones: new Map(), yields: false };
     // Room in any slice will do: it changes slice when it is needed.
     w.tasks -= fill(w, w.tasks, () => true);
     fillMore(w);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -47,6 +47,8 @@
   /** How much room a record has left for further tasks (its size is limited). */
   readonly recordRoom: (machine: MachineName) => number;
   readonly most: number;
+  /** Leaves empty ordinary machines to gangs that wait for them, since it may use spot machines. */
+  readonly yields: (job: JobRecord) => boolean;
   /** There are jobs that need whole machines, so empty ones are opened last. */
   readonly keepWhole: boolean;
   /** A gang that has waited so long that room is kept for it. */
@@ -126,6 +128,7 @@
     taken: ReadonlyMap<MachineName, number>,
     zone: Zone | null,
     zones: Map<Zone, number>,
+    yielding = false,
   ) => {
     const cap = zoneCap(spec);
     let best: Room | null = null;
@@ -151,6 +154,7 @@
       const tie = rankOf(room, spec.image);
       // Where nobody needs whole machines, an empty one is better than one that is busy fetching other images.
       // Work that may use spot machines leaves the others to work that may not, while it has a choice.
+      if (empty && yielding && !m.spot) continue;
       const tier =
         (spec.spot && !m.spot ? 8 : 0) + (empty ? (input.keepWhole ? 4 : 1) : tie === BUSY_FETCHING ? 2 : 0);
       const better =
@@ -274,7 +278,7 @@
     if (!ledger.withinLimit(spec.team, spec.demand, 1)) return 'team_limit';
     const zones = placement?.zones ?? new Map<Zone, number>();
     const only = spec.oneZone ? ([...zones].find(([, n]) => n > 0)?.[0] ?? null) : null;
-    const c = pick(spec, new Map(), only, zones);
+    const c = pick(spec, new Map(), only, zones, input.yields(j));
     if (c === null) return 'no_room';
     put(spec, index, c.room, input.newAttempt(), share, c.h);
     return null;
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -98,6 +98,7 @@
     recordRoom: () => 50,
     most: 50,
     keepWhole: true,
+    yields: () => false,
     mayHold: () => true,
     hSlack: 0.25,
     ...over,
@@ -249,6 +250,7 @@
     ]),
     usable: () => true,
     movable: () => true,
+    yields: () => false,
     mayHold: () => true,
     reserve: [],
     available: () => false,
@@ -288,3 +290,19 @@
   // Full machines are set aside once, not for each job or task.
   assert.ok(looked < 600 * 5, `${looked} looks`);
 });
+
+test('work that may use spot machines leaves empty ordinary ones to gangs that wait', () => {
+  const array = job('wk-1', { shards: 6, loaner: true });
+  const service = job('wk-9', { shape: 'daemon', shards: 9, tier: 'production' });
+  const spot = { ...machine('n-3', []), spot: true };
+  const slice = [machine('n-1', []), machine('n-2', [on(service, 0)]), spot];
+  const used = (yields: boolean) =>
+    new Set(
+      pass([array], slice, { yields: () => yields, keepWhole: false }).placements.map((p) => p.machine.name),
+    );
+  assert.deepEqual(used(true), new Set(['n-3', 'n-2']));
+  assert.ok(pass([array], [machine('n-1', [])], {}).placements.length > 0);
+  const plan = planned([array], [machine('n-1', [])], { available: () => true, yields: () => true });
+  assert.deepEqual(new Set(plan.rentals.map((r) => r.spot)), new Set([true]));
+  assert.equal(planned([array], [machine('n-1', [])], { available: () => true }).rentals.length, 1);
+});
