One machine type and one machine record for the core's tests

The tests of takeover and of placement each made their own, and takeover's its own entries beside placedOf.

--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -6,34 +6,17 @@
 import { pickVictims } from '../src/core/preemption.js';
 import {
   attempt,
-  demandOf,
-  machineName,
   nodeName,
   teamName,
-  typeName,
   wallMs,
-  zoneName,
   type JobRecord,
   type MachineRecord,
-  type MachineType,
-  type Placed,
   type Team,
   type TeamName,
 } from '../src/core/types.js';
 import { jobFromWire } from '../src/io/wire.js';
-import { submission } from './samples.js';
+import { machine, submission, type, types } from './samples.js';
 
-const type: MachineType = {
-  name: typeName('m'),
-  capacity: demandOf(16, 64, 4),
-  price: 4,
-  spotPrice: 2,
-  bootS: 30,
-  cacheGb: 100,
-  fetchGbPerS: 1,
-  zones: [zoneName('a'), zoneName('b')],
-};
-const types = new Map([[type.name, type]]);
 const team = (name: string, gpus: number) => ({
   name: teamName(name),
   guarantee: [0, 0, gpus * 1e6] as const,
@@ -57,17 +40,6 @@
   done: { base: 0, bits: '', count: 0 },
   submitted: wallMs(0),
 });
-const machine = (name: string, placed: readonly Placed[], zone = 'a'): MachineRecord => ({
-  name: machineName(name),
-  type: type.name,
-  zone: zoneName(zone),
-  spot: false,
-  owner: nodeName('c-0'),
-  floor: 1,
-  phase: 'up',
-  placed,
-  since: wallMs(0),
-});
 const on = (j: JobRecord, ...tasks: number[]) => placedOf(j.spec, attempt(1), tasks);
 
 const choose = (wanted: JobRecord, others: JobRecord[], slice: MachineRecord[]) =>
--- a/test/samples.ts
+++ b/test/samples.ts
@@ -1,3 +1,15 @@
+import {
+  demandOf,
+  machineName,
+  nodeName,
+  typeName,
+  wallMs,
+  zoneName,
+  type MachineRecord,
+  type MachineType,
+  type Placed,
+} from '../src/core/types.js';
+
 /** A valid submission as a user would send it. */
 export const submission = (over: Record<string, unknown> = {}): Record<string, unknown> => ({
   nameId: 'wk-000412',
@@ -22,3 +34,28 @@
   dueS: 900,
   ...over,
 });
+
+export const type: MachineType = {
+  name: typeName('m'),
+  capacity: demandOf(16, 64, 4),
+  price: 4,
+  spotPrice: 2,
+  bootS: 30,
+  cacheGb: 100,
+  fetchGbPerS: 1,
+  zones: [zoneName('a'), zoneName('b')],
+};
+export const types = new Map([[type.name, type]]);
+
+/** A machine of that type which is up. */
+export const machine = (name: string, placed: readonly Placed[], zone = 'a'): MachineRecord => ({
+  name: machineName(name),
+  type: type.name,
+  zone: zoneName(zone),
+  spot: false,
+  owner: nodeName('c-0'),
+  floor: 1,
+  phase: 'up',
+  placed,
+  since: wallMs(0),
+});
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -2,28 +2,25 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Ledger } from '../src/core/ledger.js';
+import { placedOf } from '../src/core/placement.js';
 import { commands, exits, newMemory, takeReport } from '../src/core/takeover.js';
 import {
   attempt,
-  demandOf,
   jobId,
   machineName,
-  nodeName,
   steady,
   teamName,
   token,
-  typeName,
   wallMs,
   zoneName,
   type JobRecord,
   type MachineRecord,
-  type MachineType,
   type Placed,
   type Report,
   type ReportedTask,
 } from '../src/core/types.js';
 import { jobFromWire } from '../src/io/wire.js';
-import { submission } from './samples.js';
+import { machine as record, submission, type, types } from './samples.js';
 
 const TOKEN = token(50);
 const OLD = token(40);
@@ -35,36 +32,8 @@
   done: { base: 0, bits: '', count: 0 },
   submitted: wallMs(0),
 });
-const type: MachineType = {
-  name: typeName('m'),
-  capacity: demandOf(16, 64, 4),
-  price: 1,
-  spotPrice: 1,
-  bootS: 10,
-  cacheGb: 1,
-  fetchGbPerS: 1,
-  zones: [zoneName('a')],
-};
-const placed = (tasks: number[], att = 7): Placed => ({
-  job: spec.id,
-  team: spec.team,
-  kind: spec.kind,
-  priority: spec.priority,
-  demand: spec.demand,
-  attempt: attempt(att),
-  tasks,
-});
-const machine = (...p: Placed[]): MachineRecord => ({
-  name: machineName('n-1'),
-  type: type.name,
-  zone: zoneName('a'),
-  spot: false,
-  owner: nodeName('c-0'),
-  floor: 0,
-  phase: 'up',
-  placed: p,
-  since: wallMs(0),
-});
+const placed = (tasks: number[], att = 7): Placed => placedOf(spec, attempt(att), tasks);
+const machine = (...p: Placed[]): MachineRecord => record('n-1', p);
 const task = (
   index: number,
   state: ReportedTask['state'],
@@ -91,7 +60,7 @@
 });
 const wanted = (m: MachineRecord, j: JobRecord) => ({
   jobs: new Map([[spec.id, j]]),
-  ledger: new Ledger([m], new Map([[type.name, type]]), new Map()),
+  ledger: new Ledger([m], types, new Map()),
 });
 const take = (mem: ReturnType<typeof newMemory>, r: Report, atMs: number, posted = true) =>
   takeReport(mem, r, steady(atMs), posted, REPORT_MS);
@@ -200,7 +169,6 @@
       { name: teamName('vision'), guarantee: [0, 0, 4e6] as const, limitCpu: null, limitGpu: null },
     ],
   ]);
-  const types = new Map([[type.name, type]]);
   let seed = 7;
   const int = (n: number) => (seed = (seed * 48_271) % 2_147_483_647) % n;
   const ledger = new Ledger([], types, teams);
