--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -42,7 +42,21 @@
       gang_peer_s: positive,
       cancel_s: positive,
     }),
-    state: Type.Object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
+    state: Type.Object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: whole,
+      /** What it will have from some moment on, without notice; what is not named stays. */
+      next: Type.Optional(
+        Type.Object({
+          rps: Type.Optional(positive),
+          write_rps: Type.Optional(positive),
+          value_kb: Type.Optional(positive),
+          txn_ops: Type.Optional(whole),
+        }),
+      ),
+    }),
     cloud: Type.Object({ rps: positive, list_lag_s: amount }),
     quota: Type.Object({ cpu: positive, ram_mb: positive, max_connections: whole }),
   }),
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -4,6 +4,9 @@
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../core/clock.js';
 import { Ledger } from '../core/ledger.js';
+import { bytesOf } from '../core/records.js';
+import { Finals } from './finals.js';
+import { Needs } from './needs.js';
 import {
   incarnation,
   type Incarnation,
@@ -23,6 +26,11 @@
 import type { Urgency } from '../io/pacer.js';
 import type { Guard, Op } from '../io/wire.js';
 
+const MOST_IMAGES_BYTES = 300;
+/** An entry may be marked as stopping; a machine may get an address, drain, hear a token, be given up. */
+const MARK_BYTES = 13;
+const LATER_BYTES = 130;
+
 /** Wakes a loop early; several calls while it works count as one. */
 export class Bell {
   private rung = false;
@@ -54,6 +62,8 @@
   readonly view = new View();
   readonly state: StateClient;
   readonly follower: Follower;
+  readonly finals: Finals;
+  readonly needs: Needs;
   readonly teams: ReadonlyMap<TeamName, Team>;
   /** Sessions as this process saw them appear. */
   readonly sessionSince = new Map<string, Steady>();
@@ -78,14 +88,19 @@
       {
         rps: s.rps,
         writeRps: s.write_rps,
-        txnOps: s.txn_ops,
-        valueBytes: s.value_kb * 1024,
+        lowRps: Math.min(s.rps, s.next?.rps ?? s.rps),
+        lowWriteRps: Math.min(s.write_rps, s.next?.write_rps ?? s.write_rps),
+        // The lower limits hold from some moment on, without notice: nothing larger is ever written.
+        txnOps: Math.min(s.txn_ops, s.next?.txn_ops ?? s.txn_ops),
+        valueBytes: Math.min(s.value_kb, s.next?.value_kb ?? s.value_kb) * 1024,
         nodes: settings.nodes,
       },
       clock,
       stateHttp,
       watchHttp,
     );
+    this.finals = new Finals(this.state);
+    this.needs = new Needs(this, this.finals);
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
     this.follower = new Follower(this.state, this.view, (keys) => {
       for (const l of this.listeners) l(keys);
@@ -148,14 +163,35 @@
    */
   yielding(): (job: JobRecord) => boolean {
     const ledger = this.ledger();
-    const wanted = [...this.view.jobs.values()].some(
-      ({ spec, phase }) =>
-        spec.kind === 'gang' && !spec.spot && phase === 'active' && !ledger.jobs.has(spec.id),
-    );
+    const wanted = this.needs
+      .all()
+      .startable.some(
+        ({ spec, phase }) =>
+          spec.kind === 'gang' && !spec.spot && phase === 'active' && !ledger.jobs.has(spec.id),
+      );
     const since = this.clock.wall() - this.operator.placement.yield_s * 1000;
     return ({ spec, submitted }) => wanted && spec.spot && spec.kind !== 'gang' && submitted > since;
   }
 
+  private readonly recordSizes = new WeakMap<MachineRecord, number>();
+
+  /** How many bytes more may be placed in a machine's record, everything counted that may still be added to it. */
+  recordRoom(m: MachineRecord): number {
+    const { valueBytes } = this.state.settings;
+    let size = this.recordSizes.get(m);
+    if (size === undefined) {
+      // Records are never changed in place. The images are counted with the most that they may take.
+      size = bytesOf({ ...m, images: undefined }) + MARK_BYTES * m.placed.length;
+      this.recordSizes.set(m, size);
+    }
+    return Math.max(0, valueBytes - size - this.imagesBytes - LATER_BYTES);
+  }
+
+  /** How much of a machine's record the names of its images may take. */
+  get imagesBytes(): number {
+    return Math.min(MOST_IMAGES_BYTES, Math.floor(this.state.settings.valueBytes / 8));
+  }
+
   myMachines(): MachineRecord[] {
     return [...this.view.machines.values()].filter((m) => this.isMine(m));
   }
--- a/src/controller/health.ts
+++ b/src/controller/health.ts
@@ -1,5 +1,6 @@
 // What reports teach about machines and jobs, kept in memory only: losing it costs time, never a rule.
 import type { ExitWhy, JobId, MachineName, MachineRecord, Placed, Report, Steady } from '../core/types.js';
+import { bytesOf } from '../core/records.js';
 import { Slowness } from '../core/slowness.js';
 import { taskKey } from '../core/takeover.js';
 import type { Context } from './context.js';
@@ -18,8 +19,6 @@
 }
 
 const REPORTS_KEPT = 4000;
-/** How much of a machine's record the names of its images may take. */
-const IMAGES_LENGTH = 300;
 
 export class Health {
   private readonly jobs = new Map<JobId, JobTrouble>();
@@ -120,10 +119,10 @@
     }
     const out: string[] = [];
     let gb = this.ctx.types.get(m.type)?.cacheGb ?? 0;
-    let room = IMAGES_LENGTH;
+    let room = this.ctx.imagesBytes - 12;
     for (const image of [...set].reverse()) {
       gb -= this.imageGb.get(image) ?? 0;
-      room -= image.length + 3;
+      room -= bytesOf(image) + 1;
       if (gb < 0 || room < 0) break;
       out.push(image);
     }
--- a/src/controller/jobs.ts
+++ b/src/controller/jobs.ts
@@ -1,5 +1,5 @@
 // Submitting, showing and cancelling jobs: what users are told, and only after it is committed.
-import { NONE_DONE, judge } from '../core/jobs.js';
+import { NONE_DONE, WINDOW, judge } from '../core/jobs.js';
 import { NO_VERSION, type FinalRecord, type JobId, type JobRecord, type JobSpec } from '../core/types.js';
 import { key } from '../core/view.js';
 import { Unavailable } from '../io/state.js';
@@ -7,13 +7,14 @@
 import type { Peer } from '../io/peers.js';
 import type { Standing } from '../io/wire.js';
 import type { Context } from './context.js';
-import { Finals } from './finals.js';
 import type { Owner } from './owner.js';
 
 export interface Status {
   readonly standing: Standing;
   readonly done: number;
   readonly running: number;
+  /** What the job still waits for. */
+  readonly needs?: readonly JobId[];
 }
 
 export type Submitted =
@@ -27,11 +28,19 @@
   | { readonly kind: 'not_found' }
   | { readonly kind: 'later' };
 
+/**
+ * Whether the record stays below the limit for a value until the job ends: results add a bitmap of what is done. One that
+ * does not is refused with its status, since its change would be refused for ever.
+ */
+function fitsValue(record: JobRecord, limit: number): boolean {
+  const bitmap = Math.ceil(Math.min(record.spec.tasks, WINDOW) / 6) + 30;
+  return Buffer.byteLength(JSON.stringify(record)) + bitmap <= limit;
+}
+
 /** How long a cancellation is worked on before its user is told to come back. */
 const CANCEL_WAIT_MS = 3000;
 
 export class Jobs {
-  readonly finals: Finals;
   private readonly waiting = new Map<JobId, Set<() => void>>();
 
   constructor(
@@ -39,7 +48,6 @@
     private readonly owner: Owner,
     private readonly peers: ReadonlyMap<string, Peer>,
   ) {
-    this.finals = new Finals(ctx.state);
     ctx.listeners.push((keys) => {
       for (const id of [...this.waiting.keys()])
         if (keys.has(key.job(id)) && !ctx.view.jobs.has(id)) for (const go of this.waiting.get(id)!) go();
@@ -67,17 +75,31 @@
         ? { kind: 'impossible', why: verdict }
         : { kind: 'known', standing: known.standing };
     }
-    if (view.jobs.has(spec.id) || this.finals.cached(spec.id) !== undefined) {
+    if (view.jobs.has(spec.id) || this.ctx.finals.cached(spec.id) !== undefined) {
       const known = await this.find(spec.id);
       if (known !== undefined) return { kind: 'known', standing: known.standing };
     }
+    const { needs: named = [], ...rest } = spec;
+    const needs = await this.needsLeft(spec.id, named);
+    if (needs === 'unknown_need') {
+      const known = await this.find(spec.id);
+      return known === undefined
+        ? { kind: 'impossible', why: needs }
+        : { kind: 'known', standing: known.standing };
+    }
     const record: JobRecord = {
-      spec,
+      spec: needs === 'cancelled' || needs.length === 0 ? rest : { ...rest, needs },
       phase: 'active',
       done: NONE_DONE,
       submitted: this.ctx.clock.wall(),
     };
-    const ops = [{ key: key.job(spec.id), value: record }];
+    if (!fitsValue(record, ctx.state.settings.valueBytes)) return { kind: 'impossible', why: 'too_large' };
+    // One that names a cancelled job is accepted, and is over at once.
+    const over: FinalRecord = { state: 'cancelled', done: 0, at: record.submitted };
+    const ops =
+      needs === 'cancelled'
+        ? [{ key: key.final(spec.id), value: over }]
+        : [{ key: key.job(spec.id), value: record }];
     const guards = [
       { key: key.job(spec.id), version: NO_VERSION },
       { key: key.final(spec.id), version: NO_VERSION },
@@ -89,7 +111,7 @@
         { job: spec.id, team: spec.team, kind: spec.kind, tasks: spec.tasks, class: spec.class },
         'accepted',
       );
-      return { kind: 'accepted', standing: 'pending' };
+      return { kind: 'accepted', standing: needs === 'cancelled' ? 'cancelled' : 'pending' };
     }
     if (r.kind === 'conflict') {
       const known = await this.find(spec.id);
@@ -99,20 +121,53 @@
     return { kind: 'later' };
   }
 
+  /**
+   * Which of the jobs that it names are not done yet; whether they were accepted is decided as freshly as a poll is.
+   * Throws `Unavailable` where that cannot be known now.
+   */
+  private async needsLeft(
+    of: JobId,
+    named: readonly JobId[],
+  ): Promise<readonly JobId[] | 'cancelled' | 'unknown_need'> {
+    const { ctx } = this;
+    const left: JobId[] = [];
+    let cancelled = false;
+    if (named.includes(of)) return 'unknown_need';
+    if (named.some((id) => ctx.finals.cached(id) === undefined)) await ctx.follower.fresh();
+    for (const id of named) {
+      const job = ctx.view.jobs.get(id);
+      const final = job === undefined ? await ctx.finals.read(id) : undefined;
+      if (job === undefined && final === undefined) return 'unknown_need';
+      // A service runs until it is cancelled: what waits for its end could never run.
+      if (job?.spec.kind === 'service') return 'unknown_need';
+      if (job !== undefined) {
+        left.push(id);
+        cancelled ||= (await ctx.needs.decide(job))?.kind === 'withdrawn';
+      } else cancelled ||= final?.state === 'cancelled';
+    }
+    return cancelled ? 'cancelled' : left;
+  }
+
   /**
    * The job's state, as new as anything that any controller has told anybody. Undefined: never accepted.
    * Throws `Unavailable` where that cannot be known now.
    */
   async find(id: JobId): Promise<Status | undefined> {
     const { ctx } = this;
-    const cached = this.finals.cached(id);
+    const cached = this.ctx.finals.cached(id);
     if (cached !== undefined) return this.finalStatus(cached);
     // Without the state service nothing but final states can be told: said at once, not after a wait.
     if (!ctx.follower.ready || !ctx.state.reachable(1500)) throw new Unavailable('not ready');
     await ctx.follower.fresh();
     const job = ctx.view.jobs.get(id);
-    if (job !== undefined) return this.statusOf(job);
-    const final = await this.finals.read(id);
+    if (job !== undefined) {
+      const d = await ctx.needs.decide(job);
+      // Its record may stand for a while yet, but it can never start: no user has to wait for the change to be written,
+      // nor for an outage to end. A cancellation is for ever, so every controller comes to this answer from now on.
+      if (d?.kind === 'withdrawn') return { standing: 'cancelled', done: 0, running: 0 };
+      return { ...this.statusOf(job), ...(d?.kind === 'blocked' ? { needs: d.by } : {}) };
+    }
+    const final = await this.ctx.finals.read(id);
     return final === undefined ? undefined : this.finalStatus(final);
   }
 
@@ -157,7 +212,7 @@
 
   private async outcome(id: JobId): Promise<Cancelled> {
     if (this.ctx.view.jobs.has(id)) return { kind: 'later' };
-    const final = await this.finals.read(id);
+    const final = await this.ctx.finals.read(id);
     return final === undefined ? { kind: 'later' } : { kind: 'final', standing: final.state };
   }
 
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -3,6 +3,7 @@
 import { Forecast } from '../core/forecast.js';
 import { planFleet, type RentalNeed, type Reserve } from '../core/fleet.js';
 import { typeAllowed } from '../core/jobs.js';
+import { bytesOf } from '../core/records.js';
 import { newer } from '../core/takeover.js';
 import { planHolders, planTeams, type LiveNode } from '../core/slices.js';
 import {
@@ -47,6 +48,8 @@
 const STRAYED_MS = 6000;
 /** The cloud rents at most so many machines by one request. */
 const MOST_RENTED = 50;
+/** Less room than this in a record is too little for another job's tasks. */
+const FULL_RECORD = 300;
 
 export class Leader {
   private readonly bell: Bell;
@@ -137,7 +140,7 @@
 
   private packed(groups: readonly Group[]) {
     const { ctx } = this;
-    return pack(groups, [ctx.guard(key.leader)], ctx.state.settings.txnOps, ctx.view);
+    return pack(groups, [ctx.guard(key.leader)], ctx.state.settings, ctx.view);
   }
 
   /** Single-key changes, as many to a transaction as fit; one that fails does not hold up the others. */
@@ -339,7 +342,7 @@
     for (const [n, at] of this.released) if (t - at > 120_000) this.released.delete(n);
     const owners = new Map([...view.teams].map(([team, r]) => [team, r.owner]));
     const plan = planFleet({
-      jobs: view.jobs.values(),
+      jobs: ctx.needs.all().startable,
       machines,
       rentals: view.rentals.values(),
       ledger: ctx.ledger(),
@@ -347,6 +350,8 @@
       owners,
       usable: (m) =>
         m.drain !== true &&
+        // A machine whose record is full takes nothing more, however much of it is free.
+        (m.placed.length === 0 || ctx.recordRoom(m) > FULL_RECORD) &&
         // Its owner does not reach it, so what is free on it is of no use now.
         ctx.substituteOf(m) === null &&
         (m.phase === 'up' || (m.phase === 'booting' && ageS(m) < bootS(m) * operator.fleet.late_boot_factor)),
@@ -376,7 +381,8 @@
   private reserve(): Reserve[] {
     const { ctx } = this;
     const underWay = new Map<string, number>();
-    for (const j of ctx.view.jobs.values()) {
+    // A job that waits for others is no work yet: it arrives when the last of them is done.
+    for (const j of ctx.needs.all().startable) {
       this.forecast.arrived(j.spec, j.submitted / 1000);
       const left = j.spec.tasks - j.done.count;
       underWay.set(j.spec.class, (underWay.get(j.spec.class) ?? 0) + left);
@@ -419,6 +425,8 @@
     // Rentals that an earlier round, or an earlier leader, decided and did not bring to an end: their names
     // give the same answer again, so nothing is rented twice.
     for (const r of [...ctx.view.rentals.values()]) await this.carryOut(r, slices);
+    const longest = Math.max(...slices.map((s) => bytesOf(s))) + 1;
+    const mostRented = Math.min(MOST_RENTED, Math.floor((ctx.state.settings.valueBytes - 500) / longest));
     const kinds = new Map<string, RentalNeed[]>();
     for (const n of needs) {
       const k = `${n.type} ${n.zone} ${n.spot}`;
@@ -432,7 +440,7 @@
         type: n.type,
         zone: n.zone,
         spot: n.spot,
-        owners: list.slice(0, MOST_RENTED).map((x) => x.owner),
+        owners: list.slice(0, mostRented).map((x) => x.owner),
       };
       const k = key.rental(r.name);
       if (!(await this.commit([{ key: k, value: r }], [{ key: k, version: NO_VERSION }], URGENT.starts)))
--- /dev/null
+++ b/src/controller/needs.ts
@@ -0,0 +1,118 @@
+// Reads the final states of jobs that others need, and keeps what follows from them at hand.
+import {
+  chainOf,
+  dependencies,
+  judgeNeeds,
+  needsOf,
+  type Dependencies,
+  type Dependency,
+} from '../core/needs.js';
+import type { JobId, JobRecord } from '../core/types.js';
+import { key } from '../core/view.js';
+import { Unavailable } from '../io/state.js';
+import type { Context } from './context.js';
+import type { Finals } from './finals.js';
+
+/** So many final states are read at once; a takeover may have hundreds of jobs that wait. */
+const READS_AT_ONCE = 8;
+const AGAIN_MS = 250;
+
+export class Needs {
+  private now: Dependencies | null = null;
+  /** The state of the view from which that follows. */
+  private at = -1;
+  private unknown = false;
+  private reading = false;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly finals: Finals,
+  ) {
+    // Not waited for until somebody plans: what follows from an end is wanted at once.
+    ctx.listeners.push((keys) => {
+      for (const k of keys)
+        if (k.startsWith('p/j/') && !ctx.view.jobs.has(k.slice(4) as JobId)) {
+          this.all();
+          return;
+        }
+    });
+  }
+
+  private get input() {
+    const { ctx } = this;
+    const ledger = ctx.ledger();
+    return {
+      jobs: ctx.view.jobs,
+      final: (id: JobId) => this.finals.cached(id),
+      started: (j: JobRecord) => ledger.jobs.has(j.spec.id),
+      runMs: (j: JobRecord) => {
+        let fetchS = 0;
+        for (const t of ctx.types.values()) fetchS = Math.max(fetchS, j.spec.imageGb / t.fetchGbPerS);
+        return (j.spec.estimateS + fetchS + ctx.settings.workers.report_s) * 1000;
+      },
+    };
+  }
+
+  /** What the view and the final states read so far say. */
+  all(): Dependencies {
+    const { jobChanges } = this.ctx.view;
+    if (this.now === null || this.at !== jobChanges) {
+      this.at = jobChanges;
+      this.now = dependencies(this.input);
+      this.unknown = [...this.now.of.values()].some((d) => d.kind === 'unknown');
+    }
+    if (this.unknown) this.readSoon();
+    return this.now;
+  }
+
+  /** As `all`, of one job, with all final states read that decide it. Throws `Unavailable` where that can't be now. */
+  async decide(job: JobRecord): Promise<Dependency | undefined> {
+    if (needsOf(job).length === 0) return undefined;
+    for (;;) {
+      const d = judgeNeeds(job, this.input);
+      const open = d?.kind === 'blocked' || d?.kind === 'unknown' ? this.unread(job) : [];
+      if (open.length === 0) return d;
+      for (const id of open.slice(0, READS_AT_ONCE))
+        if ((await this.finals.read(id)) === undefined)
+          throw new Unavailable(`${id} is neither open nor over`);
+      this.now = null;
+    }
+  }
+
+  private unread(job: JobRecord): JobId[] {
+    const { jobs } = this.ctx.view;
+    const out = new Set<JobId>();
+    for (const j of chainOf(job, jobs))
+      for (const id of needsOf(j)) if (!jobs.has(id) && this.finals.cached(id) === undefined) out.add(id);
+    return [...out];
+  }
+
+  private readSoon(): void {
+    if (this.reading) return;
+    this.reading = true;
+    void this.readAll().finally(() => {
+      this.reading = false;
+    });
+  }
+
+  /** Level-triggered: as long as something is unread, it is read, in bounded numbers. */
+  private async readAll(): Promise<void> {
+    const { ctx } = this;
+    for (;;) {
+      const unread = new Map<JobId, JobId>();
+      for (const [id, d] of this.all().of)
+        if (d.kind === 'unknown') for (const need of d.unread) unread.set(need, id);
+      if (unread.size === 0) return;
+      const some = [...unread].slice(0, READS_AT_ONCE);
+      const read = await Promise.all(some.map(([need]) => this.finals.read(need).catch(() => undefined)));
+      const changed = some.filter((_, i) => read[i] !== undefined);
+      if (changed.length > 0) {
+        this.now = null;
+        // As if the records of those that wait had changed: their owners and the leader look again.
+        const keys = new Set(changed.map(([, job]) => key.job(job)));
+        for (const l of ctx.listeners) l(keys);
+      }
+      if (changed.length < some.length) await ctx.clock.sleep(AGAIN_MS);
+    }
+  }
+}
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,7 +1,7 @@
 // What a controller does for its own machines and teams: answers reports, turns what they prove into commits,
 // places waiting tasks. All changes to machine records leave through one loop, one transaction at a time.
 import { isDone, markDone } from '../core/jobs.js';
-import { pickVictims, withinGuarantee } from '../core/preemption.js';
+import { pickVictims, stopped, withinGuarantee } from '../core/preemption.js';
 import {
   BUSY_FETCHING,
   placedOf,
@@ -50,13 +50,14 @@
   | { readonly kind: 'elsewhere'; readonly node: NodeName | null }
   | { readonly kind: 'busy' };
 
-const RECORD_SLACK = 900;
 const GANG_MEMORY_MS = 600_000;
 const SWEEP_MS = 500;
 /** How long entries of tasks that are done may stay in a record, with and without budget to spare. */
 const SPARE_STAY_MS = 1500;
 const MOST_STAY_MS = 10_000;
 const EMPTY_STAY_MS = 3000;
+/** So many jobs are withdrawn in one pass after one that they need: the rest of the work must not wait for hundreds. */
+const MOST_WITHDRAWN = 16;
 /** That so many others of a zone are silent, too, is no chance. */
 const FEW_OTHERS = 3;
 /** Results of one job are gathered for so long at least where the budget is short. */
@@ -64,14 +65,6 @@
 /** The part of this process's write budget that results of unfinished jobs may take. */
 const RESULTS_PART = 0.15;
 
-const sizes = new WeakMap<MachineRecord, number>();
-/** How long a record is in the state service; records are never changed in place. */
-function sizeOf(m: MachineRecord): number {
-  let n = sizes.get(m);
-  if (n === undefined) sizes.set(m, (n = JSON.stringify(m).length));
-  return n;
-}
-
 export class Owner {
   readonly memory = new Map<MachineName, MachineMemory>();
   /** Why waiting jobs of this controller's teams were passed over last time. */
@@ -210,7 +203,7 @@
   /** Commits groups in order, as many to a transaction as fit. False: not all were committed. */
   private async commitGroups(groups: readonly Group[], urgency: Urgency): Promise<boolean> {
     const { ctx } = this;
-    for (const { ops, guards } of pack(groups, [], ctx.state.settings.txnOps, ctx.view)) {
+    for (const { ops, guards } of pack(groups, [], ctx.state.settings, ctx.view)) {
       const r = await ctx.commit(guards, ops, urgency);
       if (r !== 'ok') {
         ctx.log.debug({ outcome: r, keys: ops.map((o) => o.key) }, 'commit');
@@ -346,8 +339,18 @@
         now.push(this.cancelling(job));
       else if (!done.has(id)) this.cancelAsked.delete(id);
     }
+    let withdrawn = 0;
+    for (const [id, d] of ctx.needs.all().of) {
+      if (d.kind !== 'withdrawn') continue;
+      const job = view.jobs.get(id);
+      // It never started, so that there is nothing but its record. Its users are told already (`Jobs.find`).
+      if (job === undefined || !ctx.ownsTeam(job.spec.team) || w.ledger.jobs.has(id)) continue;
+      if (withdrawn++ >= MOST_WITHDRAWN) break;
+      now.push(this.finish(job, { state: 'cancelled', done: 0 }));
+    }
     for (const job of view.jobs.values()) {
       if (job.phase !== 'cancelling' || done.has(job.spec.id) || !ctx.ownsTeam(job.spec.team)) continue;
+      if (ctx.needs.all().of.get(job.spec.id)?.kind === 'withdrawn') continue;
       // Said only once nothing of the job is on any machine: then there is nothing left that could run on.
       if (w.ledger.jobs.has(job.spec.id)) continue;
       now.push(this.finish(job, { state: 'cancelled', done: job.done.count }));
@@ -464,7 +467,7 @@
     ctx.log.info({ job: id, state: final.state, done: final.done }, 'job is over');
     const ops: Op[] = [
       { key: key.job(id), value: undefined },
-      { key: key.final(id), value: final },
+      { key: key.final(id), value: { ...final, at: ctx.clock.wall() } satisfies FinalRecord },
     ];
     const guards: Guard[] = [ctx.guard(key.job(id)), { key: key.final(id), version: NO_VERSION }];
     if (final.state === 'cancelled') guards.push(...this.teamGuards(team));
@@ -512,11 +515,8 @@
   private plan(): readonly Placement[] {
     const { ctx } = this;
     const { view } = ctx;
-    const mine = [...view.jobs.values()].filter((j) => ctx.ownsTeam(j.spec.team));
-    const room = (name: MachineName) => {
-      const left = ctx.state.settings.valueBytes - RECORD_SLACK - sizeOf(view.machines.get(name)!);
-      return Math.max(0, Math.floor(left / 330));
-    };
+    const mine = ctx.needs.all().startable.filter((j) => ctx.ownsTeam(j.spec.team));
+    const room = (name: MachineName) => ctx.recordRoom(view.machines.get(name)!);
     const ledger = ctx.ledger();
     const vacant: [MachineRecord, Placed][] = [];
     for (const name of this.proven.keys()) {
@@ -628,6 +628,7 @@
     const claimed = new Map<JobId, number>();
     for (const c of this.claims.values()) claimed.set(c.job, (claimed.get(c.job) ?? 0) + 1);
     const ledger = ctx.ledger();
+    const startable = new Map(ctx.needs.all().startable.map((j) => [j.spec.id, j]));
     for (const [id, why] of this.passed) {
       if (why !== 'no_room') continue;
       const since = this.waitingSince.get(id);
@@ -635,7 +636,7 @@
         this.waitingSince.set(id, t);
         continue;
       }
-      const job = view.jobs.get(id);
+      const job = startable.get(id);
       if (job === undefined || t - since < ctx.operator.placement.patience_s * 1000) continue;
       const { spec } = job;
       const waiting = spec.tasks - job.done.count - (ledger.jobs.get(id)?.tasks.size ?? 0);
@@ -659,8 +660,7 @@
           { job: v.job, tasks: v.tasks, attempt: v.attempt, machine: machine.name, for: id, entitled },
           'preempt',
         );
-      const chosen = new Set(victims);
-      const placed = machine.placed.map((p) => (chosen.has(p) ? { ...p, stop: true } : p));
+      const placed = stopped(machine.placed, victims);
       const k = key.machine(machine.name);
       return this.commitGroups(
         [
--- a/src/controller/reports.ts
+++ b/src/controller/reports.ts
@@ -14,6 +14,7 @@
   Steady,
   Token,
 } from '../core/types.js';
+import { bytesOf } from '../core/records.js';
 import { key } from '../core/view.js';
 import { URGENT } from '../io/pacer.js';
 import type { Context } from './context.js';
@@ -216,7 +217,13 @@
       const lease = this.membership.currentLease;
       if (lease === null) continue;
       // The record must stay within the limit for a value.
-      const machines = [...this.substituted.keys()].sort().slice(0, 200);
+      const machines: MachineName[] = [];
+      let room = ctx.state.settings.valueBytes - 100;
+      for (const name of [...this.substituted.keys()].sort()) {
+        room -= bytesOf(name) + 1;
+        if (room < 0) break;
+        machines.push(name);
+      }
       const text = `${lease} ${machines.join(' ')}`;
       const k = key.alive(ctx.settings.node);
       if (text === this.written || (machines.length === 0 && ctx.view.versionOf(k) === 0)) continue;
--- a/src/controller/status.ts
+++ b/src/controller/status.ts
@@ -1,5 +1,6 @@
 // What an operator sees: who holds what, how the teams stand to one another, and why jobs wait.
 import { CPU, GPU, NOTHING, UNIT, type Amounts } from '../core/types.js';
+import type { Dependency } from '../core/needs.js';
 import type { Context } from './context.js';
 import { leaderOf } from './leader.js';
 import type { Owner } from './owner.js';
@@ -7,6 +8,13 @@
 /** Lists are cut to this length, so that an answer stays readable and small. */
 const MOST = 200;
 
+const waitsFor = (d: Exclude<Dependency, { kind: 'ready' }>) =>
+  d.kind === 'blocked'
+    ? `waits for ${d.by.join(', ')}`
+    : d.kind === 'unknown'
+      ? `waits to know how ${d.unread.join(', ')} ended`
+      : 'withdrawn after a job that it needs';
+
 const amounts = (a: Amounts) => ({ cpus: a[CPU] / UNIT, gpus: a[GPU] / UNIT });
 
 export function status(ctx: Context, owner: Owner, healthy: boolean) {
@@ -18,9 +26,13 @@
     const tasks = j.spec.tasks - j.done.count - placed;
     if (tasks <= 0) return [];
     const { id, team, kind, priority } = j.spec;
-    const why = ctx.ownsTeam(team)
-      ? (owner.passed.get(id) ?? (j.phase === 'cancelling' ? 'cancelling' : 'about to be placed'))
-      : `ask ${ctx.holderOf(view.teams.get(team)) ?? 'again: its slice has no holder now'}`;
+    const need = ctx.needs.all().of.get(id);
+    const why =
+      need !== undefined && need.kind !== 'ready'
+        ? waitsFor(need)
+        : ctx.ownsTeam(team)
+          ? (owner.passed.get(id) ?? (j.phase === 'cancelling' ? 'cancelling' : 'about to be placed'))
+          : `ask ${ctx.holderOf(view.teams.get(team)) ?? 'again: its slice has no holder now'}`;
     return [{ job: id, team, kind, priority, tasks, waitsS: Math.round((wall - j.submitted) / 1000), why }];
   });
   return {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,6 +3,7 @@
 import { fitness } from './drfh.js';
 import { openTasks, typeAllowed, zoneCap } from './jobs.js';
 import type { Ledger } from './ledger.js';
+import { TASK_BYTES, entryBytes } from './records.js';
 import {
   PRIORITY_RANK,
   fits,
@@ -48,7 +49,7 @@
   readonly fetchRank: (machine: MachineRecord, image: string) => number;
   /** Machines that a job should not go to again for now. */
   readonly avoid: (job: JobId, machine: MachineName) => boolean;
-  /** How much room a record has left for further tasks (its size is limited). */
+  /** How many bytes a record has left for further tasks (its size is limited). */
   readonly recordRoom: (machine: MachineName) => number;
   readonly most: number;
   /** Leaves empty ordinary machines to gangs that wait for them, since it may use spot machines. */
@@ -89,7 +90,9 @@
 
 interface Room {
   readonly m: MachineRecord;
-  slots: number;
+  /** What its record has left, and the jobs that this pass has given an entry there. */
+  bytes: number;
+  readonly entries: Set<JobId>;
   /** Tasks on it, those of this pass included. */
   used: number;
   /** Images that this pass makes it fetch. */
@@ -125,12 +128,18 @@
     if (least !== null && fits(least, ledger.free.get(m.name)!))
       rooms.push({
         m,
-        slots: input.recordRoom(m.name),
+        bytes: input.recordRoom(m.name),
+        entries: new Set(),
         used: m.placed.length,
         fetches: new Set(),
         heldFor: null,
       });
   const next = new Map<JobId, Iterator<TaskIndex>>();
+  const attempts = new Map<JobId, Attempt>();
+
+  /** For how many more of the job's tasks the record has room: those of one pass share an entry. */
+  const slots = ({ bytes, entries }: Room, spec: JobSpec): number =>
+    Math.floor((bytes - (entries.has(spec.id) ? 0 : entryBytes(spec))) / TASK_BYTES);
 
   const rankOf = (room: Room, image: string): number => {
     const rank = input.fetchRank(room.m, image);
@@ -157,7 +166,7 @@
       if (zone !== null && m.zone !== zone) continue;
       if ((zones.get(m.zone) ?? 0) >= cap) continue;
       const n = taken.get(m.name) ?? 0;
-      if (room.slots <= n) continue;
+      if (slots(room, spec) <= n) continue;
       const free: Amounts = plus(ledger.free.get(m.name)!, spec.demand, -n);
       if (!fits(spec.demand, free) || input.avoid(spec.id, m.name)) continue;
       const h = fitness(spec.demand, free, ledger.total);
@@ -200,10 +209,10 @@
 
   /** How many tasks of the job the machine could take, as far as this quick look tells. */
   const times = (room: Room, spec: JobSpec, zone: Zone | null): number => {
-    const { m, slots } = room;
+    const { m } = room;
     if (kept(room, spec) || !typeAllowed(spec, m.type) || (m.spot && !spec.spot)) return 0;
     if ((zone ?? spec.zone ?? m.zone) !== m.zone) return 0;
-    return Math.min(slots, timesFits(spec.demand, ledger.free.get(m.name)!));
+    return Math.min(slots(room, spec), timesFits(spec.demand, ledger.free.get(m.name)!));
   };
 
   /** Kept for a gang of at least the same priority. */
@@ -233,7 +242,8 @@
     const fetch = rankOf(room, spec.image);
     if (fetch > 0) room.fetches.add(spec.image);
     placements.push({ job: spec, index, machine: room.m, attempt: att, share, h, fetch });
-    room.slots--;
+    room.bytes -= TASK_BYTES + (room.entries.has(spec.id) ? 0 : entryBytes(spec));
+    room.entries.add(spec.id);
     room.used++;
     ledger.add(room.m, placedOf(spec, att, [index]));
   };
@@ -295,7 +305,11 @@
     const only = spec.oneZone ? ([...zones].find(([, n]) => n > 0)?.[0] ?? null) : null;
     const c = pick(spec, new Map(), only, zones, input.yields(j));
     if (c === null) return 'no_room';
-    put(spec, index, c.room, input.newAttempt(), share, c.h);
+    // One number for all that this pass starts of the job: it tells this start of a task from its others, and tasks of one
+    // number share an entry of their machine's record.
+    let att = attempts.get(spec.id);
+    if (att === undefined) attempts.set(spec.id, (att = input.newAttempt()));
+    put(spec, index, c.room, att, share, c.h);
     return null;
   };
 
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -75,6 +75,8 @@
     if (job.oneZone && zones !== undefined && zones.size > 0 && !zones.has(machine.zone)) continue;
     const order = machine.placed
       .filter(may)
+      // Of tasks that end by themselves one can go without the others.
+      .flatMap((p) => (p.kind === 'array' ? p.tasks.map((i) => ({ ...p, tasks: [i] })) : [p]))
       .map((p) => ({ p, cost: loss(p, jobs.get(p.job)) }))
       .sort((a, b) => a.cost - b.cost);
     let free = ledger.free.get(machine.name)!;
@@ -92,3 +94,14 @@
   }
   return best;
 }
+
+/** What a machine holds once the victims are marked to go; entries of which only a part goes are split. */
+export function stopped(placed: readonly Placed[], victims: readonly Placed[]): Placed[] {
+  return placed.flatMap((p) => {
+    const go = new Set(victims.flatMap((v) => (v.job === p.job && v.attempt === p.attempt ? v.tasks : [])));
+    const stay = p.tasks.filter((i) => !go.has(i));
+    if (p.stop === true || stay.length === p.tasks.length) return [p];
+    const going = { ...p, tasks: p.tasks.filter((i) => go.has(i)), stop: true };
+    return stay.length === 0 ? [going] : [{ ...p, tasks: stay }, going];
+  });
+}
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -100,6 +100,8 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts; only those that were not when it came. */
+  readonly needs?: readonly JobId[];
 }
 
 export interface MachineType {
@@ -145,6 +147,8 @@
 export interface FinalRecord {
   readonly state: FinalState;
   readonly done: number;
+  /** When it was over; versions before pipelines did not write it. */
+  readonly at?: WallMs;
 }
 
 /** Some tasks of one job and one attempt on one machine. */
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -24,6 +24,7 @@
 } from './types.js';
 
 export const ROOT = 'p/';
+export const MACHINES = 'p/m/';
 export const key = {
   job: (id: JobId) => `p/j/${id}`,
   machine: (name: MachineName) => `p/m/${name}`,
@@ -68,6 +69,8 @@
   types: readonly MachineType[] | null = null;
   /** Machines whose records changed since somebody last took the set in; see `Context.ledger`. */
   readonly touched = new Set<MachineName>();
+  /** How often a job's record came, changed or went. */
+  jobChanges = 0;
   private readonly sliceVersions = new Map<string, Version>();
   /** Removals known before the watch told of them: an older event must not bring such a key back. */
   private readonly removed = new Map<string, Version>();
@@ -125,8 +128,10 @@
       else map.set(name, value as V);
     };
     const rest = k.slice(4);
-    if (k.startsWith('p/j/')) set(this.jobs, rest as JobId);
-    else if (k.startsWith('p/m/')) {
+    if (k.startsWith('p/j/')) {
+      set(this.jobs, rest as JobId);
+      this.jobChanges++;
+    } else if (k.startsWith('p/m/')) {
       set(this.machines, rest as MachineName);
       this.touched.add(rest as MachineName);
     } else if (k.startsWith('p/t/')) set(this.teams, decodeURIComponent(rest) as TeamName);
--- a/src/io/cloud.ts
+++ b/src/io/cloud.ts
@@ -19,7 +19,8 @@
     rps: number,
     clock: Clock,
   ) {
-    this.pacer = new Pacer(rps * 0.9, 1, 50, 1, clock);
+    const rate = rps * 0.9;
+    this.pacer = new Pacer({ high: rate, low: rate }, { high: 1, low: 1 }, 50, 1, clock);
   }
 
   private async call(
--- a/src/io/pacer.ts
+++ b/src/io/pacer.ts
@@ -20,6 +20,14 @@
 
 /** For so long after a refusal the whole budget counts as short. */
 const SHORT_MS = 5000;
+/** The part of the usual rate by which a rate that was refused comes back in a second. */
+const COMES_BACK = 0.005;
+
+/** What the service usually allows this process for its part, and what that may fall to without notice. */
+export interface Rate {
+  readonly high: number;
+  readonly low: number;
+}
 
 export class Pacer {
   /** What is taken now of the whole budget: between this process's fair part and nearly all of it. */
@@ -31,16 +39,20 @@
   private stopTimer: () => void = () => undefined;
   private drainedAt = Number.NEGATIVE_INFINITY;
 
+  /** This process's part as the refusals of late suggest it, between what is usual and what it may fall to. */
+  private requestRate: number;
+  private writeRate: number;
+
   constructor(
-    private readonly requestRate: number,
-    private readonly writeRate: number,
+    private readonly requestRates: Rate,
+    private readonly writeRates: Rate,
     private readonly most: number,
     /** How many times its fair part this process may take while nobody is refused. */
     private readonly spare: number,
     private readonly clock: Clock,
   ) {
-    this.requests = requestRate;
-    this.writes = writeRate;
+    this.requests = this.requestRate = requestRates.high;
+    this.writes = this.writeRate = writeRates.high;
     this.last = clock.now();
   }
 
@@ -77,9 +89,12 @@
     this.refill();
     if (writes === 0) {
       this.requests = Math.min(this.requests, 0);
+      this.requestRate = Math.max(this.requestRates.low, this.requestRate * 0.8);
       return;
     }
     this.drainedAt = this.last;
+    // Refused at no more than its own part: the whole budget is smaller than it was.
+    if (this.factor <= 1.1) this.writeRate = Math.max(this.writeRates.low, this.writeRate * 0.8);
     this.factor = 1;
     this.writes = Math.min(this.writes, 0);
   }
@@ -89,6 +104,8 @@
     const s = Math.max(0, now - this.last) / 1000;
     this.last = now;
     // The others seldom use theirs: their part is borrowed step by step, until the service refuses something.
+    this.requestRate = comesBack(this.requestRate, this.requestRates, s);
+    this.writeRate = comesBack(this.writeRate, this.writeRates, s);
     this.factor = Math.min(this.spare, this.factor + s * 0.1 * this.spare);
     this.requests = Math.min(this.requestRate, this.requests + s * this.requestRate);
     const rate = this.writeRate * this.factor;
@@ -131,3 +148,6 @@
     }
   }
 }
+
+const comesBack = (rate: number, { high }: Rate, s: number): number =>
+  Math.min(high, rate + high * COMES_BACK * s);
--- a/src/io/state.ts
+++ b/src/io/state.ts
@@ -1,7 +1,15 @@
 // The state service: paced requests, leases, transactions whose fate becomes known, and the watch.
 import type { Clock } from '../core/clock.js';
-import { key, ROOT, type Change, type View } from '../core/view.js';
-import { NO_VERSION, revision, version, type Revision, type Version } from '../core/types.js';
+import { bytesOf, slim } from '../core/records.js';
+import { key, MACHINES, ROOT, type Change, type View } from '../core/view.js';
+import {
+  NO_VERSION,
+  revision,
+  version,
+  type MachineRecord,
+  type Revision,
+  type Version,
+} from '../core/types.js';
 import type { Method, Reply, Transport } from './http.js';
 import { Pacer, URGENT, type Urgency } from './pacer.js';
 import * as wire from './wire.js';
@@ -10,6 +18,9 @@
 export interface StateSettings {
   readonly rps: number;
   readonly writeRps: number;
+  /** What the rates may fall to, without notice. */
+  readonly lowRps: number;
+  readonly lowWriteRps: number;
   readonly txnOps: number;
   readonly valueBytes: number;
   readonly nodes: number;
@@ -47,8 +58,11 @@
     private readonly watchHttp: Transport,
   ) {
     this.pacer = new Pacer(
-      (settings.rps / settings.nodes) * 0.9,
-      (settings.writeRps / settings.nodes) * 0.95,
+      { high: (settings.rps / settings.nodes) * 0.9, low: (settings.lowRps / settings.nodes) * 0.9 },
+      {
+        high: (settings.writeRps / settings.nodes) * 0.95,
+        low: (settings.lowWriteRps / settings.nodes) * 0.95,
+      },
       200,
       Math.max(1, settings.nodes * 0.8),
       clock,
@@ -307,6 +321,21 @@
 export const outdated = (view: View, guards: readonly Guard[]) =>
   guards.some((g) => view.versionOf(g.key) !== g.version);
 
+/**
+ * The group with values within the limit, or null where that can't be: the service would refuse it for ever, and what
+ * comes behind it would wait. Only what was stored under a higher limit is that large; it is left until it shrinks.
+ */
+function fitted(g: Group, valueBytes: number): Group | null {
+  let whole = true;
+  const ops = g.ops.map((o) => {
+    if (o.value === undefined || bytesOf(o.value) <= valueBytes) return o;
+    const value = o.key.startsWith(MACHINES) ? slim(o.value as MachineRecord, valueBytes) : null;
+    whole &&= value !== null;
+    return { ...o, value };
+  });
+  return whole ? { ops, guards: g.guards } : null;
+}
+
 /**
  * Fills transactions with groups, in order, as far as the state service's limits go. Each is put together only when its
  * turn comes, so that what has been overtaken meanwhile is left out.
@@ -314,16 +343,18 @@
 export function* pack(
   groups: readonly Group[],
   base: readonly Guard[],
-  txnOps: number,
+  limits: { readonly txnOps: number; readonly valueBytes: number },
   view: View,
 ): Generator<Group> {
+  const { txnOps } = limits;
   for (let i = 0; i < groups.length;) {
     const ops: Op[] = [];
     const guards = new Map<string, Guard>(base.map((g) => [g.key, g]));
     let bytes = 200 + 80 * guards.size;
     for (; i < groups.length; i++) {
-      const g = groups[i]!;
-      if (outdated(view, g.guards)) continue;
+      if (outdated(view, groups[i]!.guards)) continue;
+      const g = fitted(groups[i]!, limits.valueBytes);
+      if (g === null) continue;
       const size = JSON.stringify(g.ops).length + 80 * g.guards.length;
       const more = g.guards.filter((x) => !guards.has(x.key)).length;
       const full =
--- a/src/io/users.ts
+++ b/src/io/users.ts
@@ -90,7 +90,7 @@
     const r = await admitted(async () => ({ found: await o.jobs.find(id) }));
     if (r === null) return reply.code(429).header('retry-after', '1').send(later);
     if (r.found === undefined) return reply.code(404).send({ error: 'no such job' });
-    return reply.send(wire.statusToWire(id, r.found.standing, r.found.done, r.found.running));
+    return reply.send(wire.statusToWire(id, r.found.standing, r.found.done, r.found.running, r.found.needs));
   });
 
   app.post<{ Params: { id: string } }>(wire.paths.cancel, async (req, reply) => {
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -84,6 +84,7 @@
   snapshotEveryS: amount,
   snapshotS: amount,
   dueS: Type.Optional(Type.Union([Type.Null(), amount])),
+  awaits: Type.Optional(Type.Union([Type.Null(), Type.Array(Type.String({ pattern: ID }))])),
 });
 
 const KIND: Record<string, Kind> = { sweep: 'array', ensemble: 'gang', daemon: 'service' };
@@ -114,18 +115,28 @@
     checkpointS: b.snapshotEveryS,
     saveS: b.snapshotS,
     deadlineS: b.dueS ?? null,
+    ...(b.awaits == null || b.awaits.length === 0 ? {} : { needs: [...new Set(b.awaits.map(jobId))] }),
   };
 }
 
 export type Standing = 'pending' | 'running' | 'done' | 'cancelled';
 const STANDING = { pending: 'pending', running: 'running', done: 'done', cancelled: 'withdrawn' };
 export const acceptedToWire = (id: JobId, s: Standing) => ({ nameId: id, standing: STANDING[s] });
-export const statusToWire = (id: JobId, s: Standing, done: number, running: number) => ({
+/** What a job still waits for is told beside what the protocol asks for. */
+export const statusToWire = (
+  id: JobId,
+  s: Standing,
+  done: number,
+  running: number,
+  needs: readonly JobId[] = [],
+) => ({
   nameId: id,
   standing: STANDING[s],
   done,
   running,
+  ...(needs.length === 0 ? {} : { awaits: needs.slice(0, MOST_NEEDS_TOLD) }),
 });
+const MOST_NEEDS_TOLD = 100;
 
 // Workers.
 
--- a/test/commit.test.ts
+++ b/test/commit.test.ts
@@ -47,7 +47,12 @@
         });
       }),
   };
-  const client = new StateClient({ ...BUDGET, valueBytes: 8192, nodes: 1 }, clock, http, watch);
+  const client = new StateClient(
+    { ...BUDGET, lowRps: BUDGET.rps, lowWriteRps: BUDGET.writeRps, valueBytes: 8192, nodes: 1 },
+    clock,
+    http,
+    watch,
+  );
   const view = new View();
   const follower = new Follower(client, view, () => undefined);
   state.handle('POST', '/txn', { then: [{ write: 'p/m/n-1', value: { n: 0 } }] });
@@ -88,7 +93,9 @@
   groups.forEach((g) => {
     for (const { key: k, version: v } of g.guards) write(k, v);
   });
-  const txns = [...pack(groups, [{ key: 'p/leader', version: version(1) }], 8, view)];
+  const txns = [
+    ...pack(groups, [{ key: 'p/leader', version: version(1) }], { txnOps: 8, valueBytes: 65_536 }, view),
+  ];
   assert.deepEqual(
     txns.flatMap((t) => t.ops),
     groups.flatMap((g) => g.ops),
@@ -110,7 +117,7 @@
     ops: [{ key: `p/m/${i}`, value: { i } }],
     guards: [{ key: `p/m/${i}`, version: version(0) }],
   }));
-  const txns = pack(groups, [], 2, view);
+  const txns = pack(groups, [], { txnOps: 2, valueBytes: 8192 }, view);
   const sent: string[] = [];
   for (const t of txns) {
     sent.push(...t.ops.map((o) => o.key));
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -22,6 +22,7 @@
     view,
     operator: readOperator(''),
     listeners: [],
+    imagesBytes: 300,
     types: new Map([[type.name, { ...type, cacheGb }]]),
     clock: { now: () => 0 },
   };
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -20,14 +20,15 @@
 /** Once all is over, every job is answered about, and what ends by itself has ended. */
 async function ends(sim: Sim): Promise<void> {
   sim.quietFrom = sim.world.now;
-  await sim.world.runUntil(Math.max(sim.world.now, 75_000) + 65_000);
+  const left = () =>
+    [...sim.fleet.submitted].filter(([, j]) => j.kind !== 'daemon' && j.toldFinal === null && !j.broken);
+  await sim.world.runUntil(Math.max(sim.world.now, 75_000) + 25_000);
+  // A backlog may take its time, but not for ever.
+  for (let i = 0; i < 50 && left().length > 0; i++) await wait(sim, 2000);
   for (const [id, j] of sim.fleet.submitted)
     assert.ok(sim.world.now - (j.answeredAt ?? 0) < 20_000, `forgotten: nobody answers about ${id}`);
-  const open = [...sim.fleet.submitted].filter(
-    ([, j]) => j.kind !== 'daemon' && j.toldFinal === null && !j.broken,
-  );
   assert.deepEqual(
-    open.map(([id]) => id),
+    left().map(([id]) => id),
     [],
     'not done long after the last trouble',
   );
--- /dev/null
+++ b/test/needs.test.ts
@@ -0,0 +1,152 @@
+// Dependent jobs: what follows from the records alone.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { NONE_DONE } from '../src/core/jobs.js';
+import { dependencies, judgeNeeds, type DependencyInput } from '../src/core/needs.js';
+import { jobId, wallMs, type FinalRecord, type JobId, type JobRecord } from '../src/core/types.js';
+import { jobFromWire } from '../src/io/wire.js';
+import { submission } from './samples.js';
+
+const record = (
+  id: string,
+  needs: string[],
+  over: Record<string, unknown> = {},
+  submitted = 0,
+): JobRecord => ({
+  spec: jobFromWire(submission({ nameId: id, awaits: needs, dueS: null, ...over }) as never),
+  phase: 'active',
+  done: NONE_DONE,
+  submitted: wallMs(submitted),
+});
+const input = (
+  jobs: JobRecord[],
+  finals: Record<string, FinalRecord> = {},
+  runMs = 1000,
+): DependencyInput => ({
+  jobs: new Map(jobs.map((j) => [j.spec.id, j])),
+  final: (id) => finals[id],
+  started: () => false,
+  runMs: () => runMs,
+});
+const done = (at?: number): FinalRecord => ({
+  state: 'done',
+  done: 1,
+  ...(at === undefined ? {} : { at: wallMs(at) }),
+});
+const cancelled: FinalRecord = { state: 'cancelled', done: 0 };
+const startable = (i: DependencyInput) => dependencies(i).startable.map((j) => j.spec.id as string);
+
+test('no needs, an empty list and null are the same; repeated ids count once', () => {
+  for (const awaits of [undefined, null, []])
+    assert.equal('needs' in jobFromWire(submission({ awaits }) as never), false);
+  assert.deepEqual(jobFromWire(submission({ awaits: ['wk-1', 'wk-2', 'wk-1'] }) as never).needs, [
+    'wk-1',
+    'wk-2',
+  ]);
+});
+
+test('a job may start once the final state of each that it needs was read as done, and not before', () => {
+  const b = record('wk-b', ['wk-a', 'wk-x'], {}, 100);
+  const a = record('wk-a', []);
+  assert.deepEqual(startable(input([b, a], { 'wk-x': done() })), ['wk-a']);
+  // A job that is not in the view may be over in any way, or its record may be on its way.
+  assert.deepEqual(startable(input([b], { 'wk-x': done() })), []);
+  assert.deepEqual(judgeNeeds(b, input([b], { 'wk-x': done() })), { kind: 'unknown', unread: ['wk-a'] });
+  const i = input([b], { 'wk-a': done(900), 'wk-x': done(400) });
+  assert.deepEqual(startable(i), ['wk-b']);
+  // Its own times count from then.
+  assert.equal(dependencies(i).startable[0]!.submitted, 900);
+  // Versions before pipelines wrote no time.
+  assert.equal(dependencies(input([b], { 'wk-a': done(), 'wk-x': done() })).startable[0]!.submitted, 100);
+});
+
+test('a cancelled job takes with it all that need it, through any depth, and none that it needs', () => {
+  const depth = 5000;
+  const chain = [...Array(depth).keys()].map((i) => record(`wk-${i + 1}`, [`wk-${i}`]));
+  const before = record('wk-before', []);
+  const d = dependencies(input([...chain.reverse(), before], { 'wk-0': cancelled }));
+  assert.equal([...d.of.values()].filter((x) => x.kind === 'withdrawn').length, depth);
+  assert.deepEqual(
+    d.startable.map((j) => j.spec.id),
+    ['wk-before'],
+  );
+});
+
+test('a needed job inherits the highest priority and the earliest finish, less what lies between', () => {
+  const a = record('wk-a', [], { tier: 'low' });
+  const b = record('wk-b', ['wk-a'], { tier: 'low' });
+  const c = record('wk-c', ['wk-b'], { tier: 'urgent', dueS: 60 }, 5000);
+  const other = record('wk-d', ['wk-a'], { tier: 'standard', dueS: 30 }, 4000);
+  const [first] = dependencies(input([a, b, c, other], {}, 10_000)).startable;
+  assert.equal(first!.spec.id, 'wk-a');
+  assert.equal(first!.spec.priority, 'high');
+  // By wk-d's deadline: 34 s less its own 10 s; by wk-c's: 65 s less 20 s.
+  assert.equal(first!.submitted + first!.spec.deadlineS! * 1000, 24_000);
+  // Without the last job nobody has a deadline.
+  assert.equal(dependencies(input([a, b], {}, 10_000)).startable[0]!.spec.deadlineS, null);
+  // One that was called off asks for nothing.
+  const off = { ...c, phase: 'cancelling' as const };
+  assert.equal(dependencies(input([a, b, off], {}, 10_000)).startable[0]!.spec.priority, 'low');
+});
+
+test('whatever the graph and whatever is over: what may start, waits or is withdrawn follows from its needs', () => {
+  const states = ['open', 'done', 'cancelled'] as const;
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.constantFrom(...states), fc.array(fc.nat(), { maxLength: 3 })), { maxLength: 12 }),
+      fc.boolean(),
+      (list, shuffled) => {
+        const jobs: JobRecord[] = [];
+        const finals: Record<string, FinalRecord> = {};
+        const doomed = new Map<string, boolean>();
+        list.forEach(([state, refs], i) => {
+          const needs = i === 0 ? [] : [...new Set(refs.map((r) => `wk-${r % i}`))];
+          const id = `wk-${i}`;
+          if (state === 'open') {
+            jobs.push(record(id, needs));
+            doomed.set(
+              id,
+              needs.some((n) => doomed.get(n) === true),
+            );
+          } else {
+            finals[id] = state === 'done' ? done() : cancelled;
+            doomed.set(id, state === 'cancelled');
+          }
+        });
+        if (shuffled) jobs.reverse();
+        const d = dependencies(input(jobs, finals));
+        const may = new Set(d.startable.map((j) => j.spec.id as string));
+        for (const j of jobs) {
+          const needs = (j.spec.needs ?? []) as readonly JobId[];
+          assert.equal(
+            may.has(j.spec.id),
+            needs.every((n) => finals[n]?.state === 'done'),
+          );
+          if (needs.length === 0) continue;
+          assert.equal(d.of.get(j.spec.id)?.kind === 'withdrawn', doomed.get(j.spec.id));
+          assert.deepEqual(judgeNeeds(j, input(jobs, finals)), d.of.get(j.spec.id));
+        }
+      },
+    ),
+    { seed: 7 },
+  );
+});
+
+test('hundreds of jobs behind one cost one look each', () => {
+  const wide = [...Array(800).keys()].map((i) => record(`wk-w${i}`, ['wk-0']));
+  let reads = 0;
+  const i = input([record('wk-0', []), ...wide]);
+  dependencies({
+    ...i,
+    final: () => {
+      reads++;
+      return undefined;
+    },
+  });
+  assert.equal(reads, 0, 'what is unfinished is in the view');
+  assert.deepEqual(
+    dependencies(i).startable.map((j) => j.spec.id),
+    [jobId('wk-0')],
+  );
+});
--- a/test/pacer.test.ts
+++ b/test/pacer.test.ts
@@ -6,7 +6,13 @@
 
 test('reads and users never wait behind bulk changes, and nothing goes beyond the budget', async () => {
   const world = new World(1);
-  const pacer = new Pacer(60, 12, 200, 1, new ProcessClock(world, 1, 0));
+  const pacer = new Pacer(
+    { high: 60, low: 60 },
+    { high: 12, low: 12 },
+    200,
+    1,
+    new ProcessClock(world, 1, 0),
+  );
   const took = { bulk: 0, users: [] as number[], reads: [] as number[] };
   // A wave: far more changes than the budget has for a minute.
   for (let i = 0; i < 100; i++)
@@ -31,7 +37,13 @@
 
 test('a refusal for changes stops changes and not reads', async () => {
   const world = new World(1);
-  const pacer = new Pacer(60, 12, 200, 3, new ProcessClock(world, 1, 0));
+  const pacer = new Pacer(
+    { high: 60, low: 60 },
+    { high: 12, low: 12 },
+    200,
+    3,
+    new ProcessClock(world, 1, 0),
+  );
   await world.runUntil(10_000);
   assert.equal(pacer.idle, true);
   pacer.drained(1);
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -67,7 +67,7 @@
     newAttempt: () => attempt(++n),
     fetchRank: () => 2,
     avoid: () => false,
-    recordRoom: () => 50,
+    recordRoom: () => 6000,
     most: 50,
     keepWhole: true,
     yields: () => false,
--- a/test/sim.test.ts
+++ b/test/sim.test.ts
@@ -13,7 +13,11 @@
 
 const run = (seed: number, size: Size, label: string) => {
   test(`the rules hold through random troubles, ${label}, seed ${seed}`, async () => {
-    const sim = new Sim(seed, size);
+    // Every third run begins with the version before; its processes are replaced one by one, and the limits fall.
+    const upgrade = seed % 3 === 0;
+    const sim = new Sim(seed, size, upgrade);
+    if (upgrade) sim.upgrade(12_000);
+    else sim.pipelines = true;
     sim.troubles(70_000);
     sim.quietFrom = 85_000;
     try {
@@ -22,19 +26,21 @@
       if (e instanceof Error) e.message = `seed ${seed} at ${sim.world.now.toFixed(0)} ms: ${e.message}`;
       throw e;
     }
+    assert.equal(sim.state.tooLarge, 0, 'changes above a limit were sent');
     // Long after the last trouble everything has come to its end, and the run was not an empty one.
     assert.ok(sim.fleet.starts > 30, `only ${sim.fleet.starts} starts`);
-    const open = [...sim.fleet.submitted].filter(
-      ([, j]) => j.kind !== 'daemon' && j.toldFinal === null && !j.broken,
-    );
+    const open = (chained: boolean) =>
+      [...sim.fleet.submitted]
+        .filter(([, j]) => j.kind !== 'daemon' && j.toldFinal === null && !j.broken)
+        .filter(([, j]) => j.needs.length === 0 || chained)
+        .map(([id]) => id);
     // A job about which no question is answered counts as forgotten, however the others fare.
     for (const [id, j] of sim.fleet.submitted)
       assert.ok(sim.world.now - (j.answeredAt ?? 0) < 20_000, `forgotten: nobody answers about ${id}`);
-    assert.deepEqual(
-      open.map(([id]) => id),
-      [],
-      `seed ${seed}: not done long after the last trouble`,
-    );
+    assert.deepEqual(open(false), [], `seed ${seed}: not done long after the last trouble`);
+    // Stages run one after the other, and each may have to wait for a machine to boot.
+    for (let i = 0; i < 12 && open(true).length > 0; i++) await sim.world.runUntil(sim.world.now + 5000);
+    assert.deepEqual(open(true), [], `seed ${seed}: pipelines not done long after the last trouble`);
   });
 };
 
--- a/test/sim/fleet.ts
+++ b/test/sim/fleet.ts
@@ -23,6 +23,8 @@
   accepted: boolean;
   /** Its user has asked to call it off. */
   asked: boolean;
+  /** The jobs that it names. */
+  readonly needs: readonly string[];
 }
 
 interface Task {
@@ -327,6 +329,10 @@
     if (b['scatter'] === true)
       assert.ok(zones.get(w.zone)! <= Math.ceil(t.job.tasks / 2), `wrong_place: ${t.id} not spread`);
     assert.equal(t.job.toldCancelledAt, null, `ran_cancelled: ${k} starts on ${w.name} token ${w.token}`);
+    for (const need of t.job.needs) {
+      const n = this.submitted.get(need)!;
+      assert.equal(n.doneTasks.size, n.tasks, `too_early: ${k} starts and ${need} is not done`);
+    }
     mine.add(t);
     let used = 0;
     let cpu = 0;
@@ -338,6 +344,33 @@
     assert.ok(used <= limit + 1e-9, `quota: ${String(b['tenant'])} uses ${used} of ${limit}`);
   }
 
+  private isDone(id: string): boolean {
+    const j = this.submitted.get(id)!;
+    return j.doneTasks.size === j.tasks;
+  }
+
+  /** When the user of a job before this one was first told that it is cancelled, or its own. */
+  cancelledFrom(id: string): number {
+    let first = Number.POSITIVE_INFINITY;
+    const seen = new Set([id]);
+    for (const x of seen) {
+      const j = this.submitted.get(x)!;
+      first = Math.min(first, j.toldCancelledAt ?? Number.POSITIVE_INFINITY);
+      for (const n of j.needs) seen.add(n);
+    }
+    return first;
+  }
+
+  /** Whether the user of the job, or of one before it, has asked to call it off. */
+  calledOff(id: string): boolean {
+    const seen = new Set([id]);
+    for (const x of seen) {
+      if (this.submitted.get(x)!.asked) return true;
+      for (const n of this.submitted.get(x)!.needs) seen.add(n);
+    }
+    return false;
+  }
+
   /** Accepted jobs of which nothing runs though a machine has room for a task and the team is below its limit. */
   neglected(): string[] {
     const used = new Map<string, number>();
@@ -359,7 +392,7 @@
     for (const [id, j] of this.submitted) {
       const b = j.body;
       if (!j.accepted || j.asked || j.broken || j.toldFinal !== null || running.has(id)) continue;
-      if (j.doneTasks.size === j.tasks) continue;
+      if (j.doneTasks.size === j.tasks || !j.needs.every((n) => this.isDone(n))) continue;
       const [vcpus, cards, memoryGb] = [Number(b['vcpus']), Number(b['cards']), Number(b['memoryGb'])];
       const n = j.kind === 'ensemble' ? j.tasks : 1;
       const left = this.quota.get(String(b['tenant']))! - (used.get(String(b['tenant'])) ?? 0);
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -71,6 +71,14 @@
   /** How much longer each task runs than the one before it. */
   readonly apartMs?: number;
   readonly fields?: Json;
+  readonly needs?: readonly string[];
+  /** Its user does not call it off by chance. */
+  readonly stays?: boolean;
+}
+
+/** A change as the version before pipelines wrote it. */
+function asBefore(o: Json): void {
+  if (String(o['write']).startsWith('f/')) delete (o['value'] as Json)['at'];
 }
 
 /** The users' 90 s, shorter as everything is here. */
@@ -83,6 +91,8 @@
   /** What the node cannot reach now. */
   readonly cut = new Set<'state' | 'workers' | 'peers'>();
   refused = false;
+  /** It runs the version before pipelines: it knows nothing of lower limits, and its final states have no time. */
+  old = false;
 
   constructor(
     private readonly sim: Sim,
@@ -110,6 +120,7 @@
             reject(new Error('no answer'));
           });
           const copy: unknown = body === undefined ? undefined : structuredClone(body);
+          if (this.old) for (const o of (copy as { then?: Json[] } | undefined)?.then ?? []) asBefore(o);
           const go = () => {
             if (this.refused && !watch) give({ status: 503, body: null });
             else if (watch) sim.state.follow(path, give);
@@ -173,6 +184,7 @@
         write_rps: sim.size.writeRps,
         value_kb: 8,
         txn_ops: sim.size.txnOps,
+        ...(this.old || sim.next === null ? {} : { next: sim.next }),
       },
       cloudLimits: { rps: 5, list_lag_s: 2 },
       limits: { cpu: 1, ram_mb: 100, max_connections: 100 },
@@ -277,9 +289,15 @@
   private jobs = 0;
   answers = 0;
 
+  /** Limits that the state service will have from some moment on, as the settings of the new version state them. */
+  next: { value_kb: number; txn_ops: number; write_rps: number } | null = null;
+  /** Users submit pipelines too. */
+  pipelines = false;
+
   constructor(
     seed: number,
     readonly size: Size = SMALL,
+    upgrade = false,
   ) {
     this.world = new World(seed);
     this.state = new StateService(this.world, size);
@@ -322,6 +340,7 @@
     });
     NODES.forEach((name, i) => {
       const n = new Node(this, name, ZONES[i % 2]!);
+      n.old = upgrade;
       this.nodes.set(name, n);
       n.start();
     });
@@ -454,7 +473,10 @@
   private users(): void {
     const { world } = this;
     const next = () => {
-      if (world.now < 75_000) this.submit();
+      if (world.now < 75_000) {
+        if (this.pipelines && world.chance(0.3)) this.pipeline();
+        else this.submit();
+      }
       const { everyMs } = this.size;
       world.after(world.int(Math.round(everyMs / 6), Math.round((everyMs * 11) / 6)), next);
     };
@@ -495,6 +517,7 @@
       scatter: spread,
       tier: world.pick(['production', 'urgent', 'standard', 'low']),
       ...given.fields,
+      ...(given.needs === undefined ? {} : { awaits: given.needs }),
     });
     const job: Submitted = {
       body,
@@ -509,16 +532,20 @@
       answeredAt: null,
       accepted: false,
       asked: false,
+      needs: given.needs ?? [],
     };
     this.fleet.submitted.set(id, job);
     const cancelAt =
-      kind === 'daemon' || job.broken || world.chance(0.15) ? world.now + world.int(50, 25_000) : null;
+      given.stays !== true && (kind === 'daemon' || job.broken || world.chance(0.15))
+        ? world.now + world.int(50, 25_000)
+        : null;
     const watch = async () => {
       while (!job.accepted) {
         const r = await this.ask((c) => c.jobs.submit(wire.jobFromWire(body as never)));
         if (r !== null && r.kind !== 'later') {
           assert.notEqual(r.kind, 'impossible', `forgotten: ${id} is possible and was refused`);
           job.accepted = true;
+          if (r.kind !== 'impossible') this.told(id, job, r.standing);
         } else await world.sleep(500);
       }
       for (;;) {
@@ -545,6 +572,53 @@
     return id;
   }
 
+  /**
+   * A pipeline, submitted stage by stage, each as soon as those that it needs are accepted; sometimes the last only when
+   * the others are over, and sometimes a stage is called off.
+   */
+  pipeline(width = this.world.int(1, 3), off = this.world.chance(0.4)): string[] {
+    const { world } = this;
+    const ids: string[] = [];
+    const stage = (needs: string[], fields: Json = {}) => {
+      const kind = world.pick(['sweep', 'ensemble'] as const);
+      const id = this.submit({
+        kind,
+        stays: true,
+        tasks: world.int(1, 3),
+        needs,
+        fields: { cards: 0, ...fields },
+      });
+      ids.push(id);
+      return id;
+    };
+    const accepted = async (...list: string[]) => {
+      while (list.some((id) => !this.fleet.submitted.get(id)!.accepted)) await world.sleep(50);
+    };
+    const late = world.chance(0.2);
+    const go = async () => {
+      const first = stage([], { tier: 'low' });
+      if (off)
+        world.after(world.int(100, 12_000), () => {
+          const known = ids.filter((id) => this.fleet.submitted.get(id)!.accepted);
+          if (known.length > 0) this.callOff(world.pick(known));
+        });
+      await accepted(first);
+      const middle = [...Array(width).keys()].map(() => stage([first], { tier: 'low' }));
+      await accepted(...middle);
+      if (late)
+        while (middle.some((id) => this.fleet.submitted.get(id)!.toldFinal === null)) await world.sleep(300);
+      const last = stage([...middle, ...(world.chance(0.3) ? [first] : [])], { tier: 'urgent', dueS: 40 });
+      if (world.chance(0.3)) {
+        await accepted(last);
+        stage([last]);
+      }
+    };
+    go().catch((e: unknown) => {
+      this.failed ??= e;
+    });
+    return ids;
+  }
+
   private async cancelOnce(id: string, job: Submitted): Promise<void> {
     if (job.toldFinal !== null) return;
     job.asked = true;
@@ -591,6 +665,13 @@
   private told(id: string, job: Submitted, standing: string): void {
     this.answers++;
     if (job.toldFinal !== null) assert.equal(standing, job.toldFinal, `went_back: ${id}`);
+    if (standing === 'pending' || standing === 'running') {
+      const from = this.fleet.cancelledFrom(id);
+      assert.ok(
+        this.world.now - from <= LIMITS.cancelS * 1000,
+        `orphaned: ${id} is ${standing}, and one that it needs was cancelled at ${from}`,
+      );
+    }
     if (standing === 'done') {
       assert.equal(
         job.doneTasks.size,
@@ -600,12 +681,37 @@
       job.toldFinal = standing;
     }
     if (standing === 'cancelled') {
-      assert.ok(job.asked, `went_back: ${id} was cancelled by nobody`);
+      assert.ok(this.fleet.calledOff(id), `went_back: ${id} was cancelled by nobody`);
       job.toldFinal = standing;
       job.toldCancelledAt ??= this.world.now;
     }
   }
 
+  /**
+   * From the time given on the processes end one after the other and come back new; then users submit pipelines, and
+   * soon the limits of the state service fall.
+   */
+  upgrade(from: number): void {
+    const { world } = this;
+    const { size } = this;
+    this.next = { value_kb: 2, txn_ops: Math.max(3, size.txnOps / 2), write_rps: size.writeRps * 0.75 };
+    NODES.forEach((name, i) => {
+      const n = this.nodes.get(name)!;
+      world.after(from + i * 4000, () => {
+        n.old = false;
+        if (n.controller !== null) n.crash();
+        world.after(700, () => {
+          if (n.controller === null) n.start();
+          if (i === NODES.length - 1) this.pipelines = true;
+        });
+      });
+    });
+    world.after(from + NODES.length * 4000 + 3000, () => {
+      this.state.valueBytes = 2048;
+      this.state.budget = { ...size, writeRps: size.writeRps * 0.75, txnOps: this.next!.txn_ops };
+    });
+  }
+
   /** Troubles at random times, alone and together, until the time given. */
   troubles(until: number): void {
     const { world } = this;
@@ -644,7 +750,7 @@
       if (n.controller === null) return;
       n.crash();
       world.after(ms, () => {
-        n.start();
+        if (n.controller === null) n.start();
       });
     };
     const workers = this.fleet.live();
--- a/test/sim/state.ts
+++ b/test/sim/state.ts
@@ -31,9 +31,14 @@
   /** What was asked for, by kind. */
   readonly counts = { requests: 0, writes: 0, limited: 0 };
 
+  /** The largest value that it takes, in bytes, and how many larger ones were refused. */
+  valueBytes = 8192;
+  tooLarge = 0;
+
   constructor(
     private readonly world: World,
-    private readonly budget: Budget,
+    /** May change at any time. */
+    public budget: Budget,
   ) {
     this.left = { requests: budget.rps, writes: budget.writeRps, at: 0 };
     const tick = () => {
@@ -142,10 +147,14 @@
     const guards = (b['guards'] ?? []) as { path: string; entryRev: number }[];
     const then = (b['then'] ?? []) as Json[];
     for (const o of then) {
-      if (JSON.stringify(o['value'] ?? null).length > 8192) return { status: 400, body: { error: 'value' } };
+      if (Buffer.byteLength(JSON.stringify(o['value'] ?? null)) > this.valueBytes) {
+        this.tooLarge++;
+        return { status: 400, body: { error: 'value' } };
+      }
       if (o['hold'] !== undefined && !this.leases.has(o['hold'] as number))
         return { status: 400, body: { error: 'no such lease' } };
     }
+    if (then.length > this.budget.txnOps || guards.length > this.budget.txnOps * 4) this.tooLarge++;
     if (then.length > this.budget.txnOps || guards.length > this.budget.txnOps * 4)
       return { status: 400, body: { error: 'too many' } };
     const failed = guards.filter((g) => (this.rows.get(g.path)?.rev ?? 0) !== g.entryRev).map((g) => g.path);
