--- a/test/pacer.test.ts
+++ b/test/pacer.test.ts
@@ -61,3 +61,45 @@
   await world.runUntil(world.now + 600);
   assert.equal(wrote, true);
 });
+
+test('a rate that falls without notice is noticed by refusals, and nothing lives off bursts', async () => {
+  const world = new World(1);
+  const high = 20;
+  const low = 15;
+  // A little less than all of it, as the client takes.
+  const rate = { high: high * 0.95, low: low * 0.95 };
+  const pacer = new Pacer({ high: 100, low: 100 }, rate, 2000, 1, new ProcessClock(world, 1, 0));
+  // The service's bucket: it holds a second's worth of what it allows.
+  let allowed = high;
+  let tokens = high;
+  let last = 0;
+  let refused = 0;
+  let granted = 0;
+  const send = async (): Promise<void> => {
+    for (;;) {
+      if (!(await pacer.take(URGENT.starts, 2))) return;
+      tokens = Math.min(allowed, tokens + ((world.now - last) / 1000) * allowed);
+      last = world.now;
+      if (tokens >= 2) {
+        tokens -= 2;
+        granted += 2;
+      } else {
+        refused++;
+        pacer.drained(2);
+      }
+    }
+  };
+  // Time goes on also while nothing waits.
+  const tick = () => {
+    world.after(50, tick);
+  };
+  tick();
+  void send();
+  await world.runUntil(30_000);
+  assert.ok(refused <= 2 && granted >= high * 0.95 * 29, `${refused} refused, ${granted} granted`);
+  allowed = low;
+  refused = granted = 0;
+  await world.runUntil(90_000);
+  assert.ok(granted >= low * 60 * 0.85, `${granted} granted`);
+  assert.ok(refused <= 20, `${refused} refused in a minute`);
+});
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -84,12 +84,55 @@
   assert.deepEqual(seen, []);
 });
 
+test('each field of a submission, missing, of a wrong type or out of range, gets 400; unknown ones are ignored', async () => {
+  const { app, seen } = server();
+  const fields = submission({ flavors: ['g8'], vault: 'a', awaits: ['wk-1'] });
+  const nullable = new Set(['flavors', 'vault', 'dueS', 'awaits']);
+  const long = 'x'.repeat(201);
+  const outOfRange: Record<string, unknown[]> = {
+    nameId: ['', 'wk-', 'wk-a b', `wk-${long}`, 'wk-a/0', 'WK-1'],
+    shards: [0, -1, 0.5, 100_001],
+    flavors: [[''], [null], [3], [[]], [long]],
+    awaits: [[''], [null], [3], [[]], ['x-1'], ['wk-1', 'wk-a b'], 'wk-1', { 0: 'wk-1' }],
+    ...Object.fromEntries(['workload', 'tenant', 'bundle', 'vault'].map((f) => [f, ['', long]])),
+    ...Object.fromEntries(['shape', 'tier'].map((f) => [f, ['', 'Sweep', 'PRODUCTION']])),
+    ...Object.fromEntries(
+      ['vcpus', 'cards', 'memoryGb', 'pullGb', 'expectedS', 'snapshotEveryS', 'snapshotS', 'dueS'].map(
+        (f) => [f, [-0.001, 1e300]],
+      ),
+    ),
+  };
+  const status = async (over: Record<string, unknown>) =>
+    (await post(app, '/v1/jobs', { ...fields, ...over })).statusCode;
+  for (const [field, value] of Object.entries(fields)) {
+    for (const none of [undefined, null])
+      assert.equal(await status({ [field]: none }), nullable.has(field) ? 201 : 400, `${field}: ${none}`);
+    const same = (x: unknown) => typeof x === typeof value && Array.isArray(x) === Array.isArray(value);
+    for (const other of ['text', 7, true, { a: 1 }, [1]])
+      if (!same(other))
+        assert.equal(await status({ [field]: other }), 400, `${field}: ${JSON.stringify(other)}`);
+    for (const bad of outOfRange[field] ?? [])
+      assert.equal(await status({ [field]: bad }), 400, `${field}: ${JSON.stringify(bad)}`);
+  }
+  assert.equal(seen.length, 2 * nullable.size, 'what was refused reached nobody');
+  assert.equal(await status({ unknown: { deep: [1] }, '': 0 }), 201);
+  // Not a number, in whatever way JSON lets one say it.
+  for (const raw of ['NaN', '1e999', '"8"', '08'])
+    assert.equal(
+      (await post(app, '/v1/jobs', JSON.stringify(fields).replace('"vcpus":8', `"vcpus":${raw}`))).statusCode,
+      400,
+      raw,
+    );
+});
+
 test('what cannot be decided now is refused at once, with a time to come back', async () => {
   const { app } = server({
     submit: () => Promise.resolve({ kind: 'later' }),
     find: () => Promise.reject(new Unavailable('state')),
     cancel: () => Promise.resolve({ kind: 'later' }),
   });
+  // What is malformed is so in every state of the service.
+  assert.equal((await post(app, '/v1/jobs', submission({ awaits: 'wk-1' }))).statusCode, 400);
   for (const r of [
     await post(app, '/v1/jobs', submission()),
     await app.inject({ method: 'GET', url: '/v1/jobs/wk-1' }),
