--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -3,7 +3,7 @@
 import { Forecast } from '../core/forecast.js';
 import { planFleet, type RentalNeed, type Reserve } from '../core/fleet.js';
 import { typeAllowed } from '../core/jobs.js';
-import { bytesOf } from '../core/records.js';
+import { bytesOf, partsWithin } from '../core/records.js';
 import { newer } from '../core/takeover.js';
 import { planHolders, planTeams, type LiveNode } from '../core/slices.js';
 import {
@@ -485,13 +485,20 @@
     const { ctx } = this;
     const types = await this.cloud.types();
     if (types === null) return;
-    const same = JSON.stringify(ctx.view.types) === JSON.stringify(types);
-    if (!same)
-      await this.commit(
-        [{ key: key.types, value: types satisfies MachineType[] }],
-        [ctx.guard(key.types)],
-        URGENT.starts,
-      );
+    if (JSON.stringify(ctx.view.types) === JSON.stringify(types)) return;
+    const parts = partsWithin(types, ctx.state.settings.valueBytes);
+    const names = (list: readonly MachineType[] | null) => JSON.stringify(list?.map((t) => t.name));
+    // A longer list that stands in one value, from before the limit fell, is left: only its prices are a little old, and
+    // a process of the version before would miss what it can't find there.
+    if (parts.length > 1 && names(ctx.view.types) === names(types)) return;
+    const ops: Op[] = parts.map((value, i) => ({ key: i === 0 ? key.types : key.moreTypes(i), value }));
+    for (let i = parts.length; ctx.view.entries.has(key.moreTypes(i)); i++)
+      ops.push({ key: key.moreTypes(i), value: undefined });
+    await this.commit(
+      ops,
+      ops.map((o) => ctx.guard(o.key)),
+      URGENT.starts,
+    );
   }
 
   /** Looks over the cloud's list for machines that no record knows, and for those that failed. */
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -27,3 +27,19 @@
   const merged = { ...rest, placed };
   return bytesOf(merged) <= limit ? merged : null;
 }
+
+/** A list in parts that each stay within the limit, in order. */
+export function partsWithin<T>(list: readonly T[], limit: number): T[][] {
+  const parts: T[][] = [[]];
+  let size = 2;
+  for (const x of list) {
+    const more = bytesOf(x) + 1;
+    if (size + more > limit && parts.at(-1)!.length > 0) {
+      parts.push([]);
+      size = 2;
+    }
+    parts.at(-1)!.push(x);
+    size += more;
+  }
+  return parts;
+}
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -25,6 +25,7 @@
 
 export const ROOT = 'p/';
 export const MACHINES = 'p/m/';
+const MORE_TYPES = 'p/types/';
 export const key = {
   job: (id: JobId) => `p/j/${id}`,
   machine: (name: MachineName) => `p/m/${name}`,
@@ -37,6 +38,8 @@
   cancel: (id: JobId) => `p/c/${id}`,
   leader: 'p/leader',
   types: 'p/types',
+  /** What does not fit there; the version before pipelines reads the first part only. */
+  moreTypes: (n: number) => `${MORE_TYPES}${n}`,
   /** Outside the watched prefix: finished jobs are kept for ever and read only when asked for. */
   final: (id: JobId) => `f/${id}`,
 };
@@ -71,6 +74,8 @@
   readonly touched = new Set<MachineName>();
   /** How often a job's record came, changed or went. */
   jobChanges = 0;
+  /** The list of types by key: where it does not fit one value it goes on in others. */
+  private readonly typeParts = new Map<string, readonly MachineType[]>();
   private readonly sliceVersions = new Map<string, Version>();
   /** Removals known before the watch told of them: an older event must not bring such a key back. */
   private readonly removed = new Map<string, Version>();
@@ -150,6 +155,10 @@
       if (value === undefined) this.cancels.delete(rest as JobId);
       else this.cancels.add(rest as JobId);
     } else if (k === key.leader) this.leader = (value ?? null) as LeaderRecord | null;
-    else if (k === key.types) this.types = (value ?? null) as readonly MachineType[] | null;
+    else if (k === key.types || k.startsWith(MORE_TYPES)) {
+      set(this.typeParts, k);
+      const parts = [...this.typeParts].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, part]) => part);
+      this.types = parts.length === 0 ? null : parts.flat();
+    }
   }
 }
--- /dev/null
+++ b/test/records.test.ts
@@ -0,0 +1,183 @@
+// Records at the limits of the state service, and those of the version before pipelines, in its shape.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { markDone } from '../src/core/jobs.js';
+import { Ledger } from '../src/core/ledger.js';
+import { dependencies } from '../src/core/needs.js';
+import { placedOf, withPlaced } from '../src/core/placement.js';
+import { stopped } from '../src/core/preemption.js';
+import { TASK_BYTES, bytesOf, entryBytes, partsWithin, slim } from '../src/core/records.js';
+import { commands, exits, newMemory, takeReport } from '../src/core/takeover.js';
+import {
+  attempt,
+  jobId,
+  machineName,
+  steady,
+  teamName,
+  version,
+  type MachineRecord,
+} from '../src/core/types.js';
+import { View, key } from '../src/core/view.js';
+import { jobFromWire, reportFromWire } from '../src/io/wire.js';
+import { machine, submission, type, types } from './samples.js';
+
+/** As the version before wrote them, text and all. */
+const JOB_BEFORE =
+  '{"spec":{"id":"wk-000001","class":"sweep","team":"red","kind":"array","priority":"normal","tasks":4,' +
+  '"demand":[1000000,2000000,0],"image":"img-1","imageGb":1,"types":null,"zone":null,"oneZone":false,"spread":false,' +
+  '"spot":true,"estimateS":10,"checkpointS":0,"saveS":0,"deadlineS":null},"phase":"active",' +
+  '"done":{"base":0,"bits":"AQ==","count":1},"submitted":1700000000000}';
+const MACHINE_BEFORE =
+  '{"name":"n-000001","type":"m","zone":"a","spot":false,"owner":"c-0","floor":7,"phase":"up","placed":[' +
+  [1, 2, 3]
+    .map(
+      (i) =>
+        `{"job":"wk-000001","team":"red","kind":"array","priority":"normal","demand":[1000000,2000000,0],"attempt":${40 + i},"tasks":[${i}]}`,
+    )
+    .join() +
+  '],"since":1700000000000,"address":"10.1.0.1:9000","images":["img-1"],"heard":9}';
+
+const viewOf = (rows: Record<string, string>) => {
+  const view = new View();
+  let v = 10;
+  for (const [k, text] of Object.entries(rows))
+    view.apply({ key: k, value: JSON.parse(text) as unknown, version: version(++v) });
+  return view;
+};
+
+test('records of the version before are read: jobs wait for nobody, each task stands in its own entry', () => {
+  const id = jobId('wk-000001');
+  const view = viewOf({
+    [key.job(id)]: JOB_BEFORE,
+    [key.machine(machineName('n-000001'))]: MACHINE_BEFORE,
+    [key.slice('c-0')]: '{"holder":"c-0","incarnation":"x"}',
+  });
+  const ledger = new Ledger(view.machines.values(), types, new Map());
+  assert.equal(ledger.jobs.get(id)?.tasks.size, 3);
+  const d = dependencies({
+    jobs: view.jobs,
+    final: () => undefined,
+    started: () => true,
+    runMs: () => 0,
+  });
+  assert.equal(d.startable[0], view.jobs.get(id), 'as it stands');
+  // A final state without a time still tells that a job may start.
+  const next = {
+    ...view.jobs.get(id)!,
+    spec: { ...view.jobs.get(id)!.spec, id: jobId('wk-2'), needs: [jobId('wk-0')] },
+  };
+  const after = dependencies({
+    jobs: new Map([[next.spec.id, next]]),
+    final: () => JSON.parse('{"state":"done","done":1}') as never,
+    started: () => false,
+    runMs: () => 0,
+  });
+  assert.equal(after.startable.length, 1);
+  // What the version before does with a record that it does not know all of: it copies it, with other results.
+  const back = JSON.parse(JSON.stringify({ ...next, done: markDone(next.done, [2]) })) as typeof next;
+  assert.deepEqual(back.spec.needs, ['wk-0']);
+});
+
+test('tasks that share an entry are stopped, proved gone and started one by one', () => {
+  const spec = jobFromWire(submission({ vcpus: 1, cards: 0, memoryGb: 1, shards: 3 }) as never);
+  const job = {
+    spec,
+    phase: 'active' as const,
+    done: { base: 0, bits: '', count: 0 },
+    submitted: 0 as never,
+  };
+  const shared = placedOf(spec, attempt(9), [0, 1, 2]);
+  const m: MachineRecord = machine('n-1', stopped([shared], [{ ...shared, tasks: [1] }]));
+  assert.deepEqual(
+    m.placed.map((p) => [p.tasks, p.stop]),
+    [
+      [[0, 2], undefined],
+      [[1], true],
+    ],
+  );
+  const mem = newMemory(5 as never, steady(0));
+  const report = reportFromWire({
+    teller: 'n-1',
+    flavor: 'm',
+    vault: 'a',
+    shift: 1,
+    tally: 1,
+    mandate: 5,
+    shards: [
+      { shard: `${spec.id}/0`, tryNo: 9, standing: 'ended', exitCause: 'done' },
+      { shard: `${spec.id}/1`, tryNo: 9, standing: 'running' },
+    ],
+  })!;
+  takeReport(mem, report, steady(10), true, 2000);
+  const w = { jobs: new Map([[spec.id, job]]), ledger: new Ledger([m], types, new Map()) };
+  assert.deepEqual(
+    exits(m, mem, w).map((e) => [e.index, e.why]),
+    [[0, 'done']],
+  );
+  assert.deepEqual(
+    commands(m, mem, w, steady(10), true).map((c) => [c.op, c.index]),
+    [
+      ['stop', 1],
+      ['start', 2],
+    ],
+  );
+});
+
+test('what an entry and a task are counted with is never less than what they add', () => {
+  for (const id of ['wk-1', `wk-${'x'.repeat(100)}`])
+    for (const tenant of ['a', 'ä'.repeat(100)]) {
+      const spec = jobFromWire(
+        submission({
+          nameId: id,
+          tenant,
+          shards: 100_000,
+          vcpus: 1e9,
+          cards: 1e9,
+          memoryGb: 1e9,
+          tier: 'production',
+        }) as never,
+      );
+      const att = attempt(2 ** 52);
+      const empty = machine('n-1', []);
+      const one = withPlaced([], placedOf(spec, att, [99_999]));
+      const two = withPlaced(one, placedOf(spec, att, [99_998]));
+      const size = (placed: MachineRecord['placed']) => bytesOf({ ...empty, placed });
+      assert.ok(size(one) - size([]) <= entryBytes(spec) + TASK_BYTES);
+      assert.ok(size(two) - size(one) <= TASK_BYTES);
+    }
+});
+
+test('a record above the limit goes without its images, and one that is given up with its entries joined', () => {
+  const spec = jobFromWire(submission() as never);
+  const m: MachineRecord = {
+    ...machine(
+      'n-1',
+      [...Array(12).keys()].map((i) => placedOf(spec, attempt(i + 1), [i])),
+    ),
+    images: [...Array(30).keys()].map((i) => `image-${i}`),
+  };
+  const bare = bytesOf({ ...m, images: undefined });
+  assert.equal(slim(m, bare)?.images, undefined);
+  assert.ok(bytesOf(slim(m, bare)) <= bare);
+  assert.equal(slim(m, bare - 1), null, 'left until some of it has ended');
+  const given = slim({ ...m, phase: 'releasing' }, 700);
+  assert.deepEqual(
+    given?.placed.flatMap((p) => p.tasks),
+    [...Array(12).keys()],
+  );
+  // It counts as before.
+  const sums = (x: MachineRecord) => new Ledger([x], types, new Map()).used(teamName('vision'));
+  assert.deepEqual(sums(given!), sums(m));
+});
+
+test('a list of machine types that does not fit one value goes on in others, and is read as one', () => {
+  const many = [...Array(30).keys()].map((i) => ({ ...type, name: `type-${i}` }));
+  const parts = partsWithin(many, 2048);
+  assert.ok(parts.length > 1 && parts.every((p) => bytesOf(p) <= 2048));
+  const view = viewOf(
+    Object.fromEntries(parts.map((p, i) => [i === 0 ? key.types : key.moreTypes(i), JSON.stringify(p)])),
+  );
+  assert.deepEqual(new Set(view.types?.map((t) => t.name as string)), new Set(many.map((t) => t.name)));
+  view.apply({ key: key.moreTypes(1), value: undefined, version: version(99) });
+  assert.equal(view.types?.length, 30 - parts[1]!.length);
+});
