--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -39,7 +39,7 @@
 } from '../core/types.js';
 import { key } from '../core/view.js';
 import { URGENT, type Urgency } from '../io/pacer.js';
-import { pack, type Group } from '../io/state.js';
+import { commitAll, type Group } from '../io/state.js';
 import type { Guard, Op } from '../io/wire.js';
 import type { Workers } from '../io/workers.js';
 import { Bell, type Context } from './context.js';
@@ -65,6 +65,14 @@
 /** The part of this process's write budget that results of unfinished jobs may take. */
 const RESULTS_PART = 0.15;
 
+/** So long a job waits before the reason is logged, and from then to the next time. */
+const SAY_WHY_MS = 30_000;
+/** Bounds of the starts planned in one pass; between them as many as can be committed in about the time below. */
+const LEAST_PLANNED = 16;
+const MOST_PLANNED = 64;
+/** How long one pass should spend on committing starts, and may on what only tidies up. */
+const PASS_MS = 2500;
+const TIDY_MS = 1000;
 export class Owner {
   readonly memory = new Map<MachineName, MachineMemory>();
   /** Why waiting jobs of this controller's teams were passed over last time. */
@@ -159,8 +167,9 @@
         this.reach(work);
         const { now, later } = this.settle(work);
         // Starts go before what only tidies up: under a short budget they would wait for seconds behind it.
-        let ok = (await this.commitGroups(now, URGENT.results)) && (await this.placeIfDue());
-        ok = (await this.commitGroups(later, URGENT.starts)) && ok;
+        let ok = await this.commitGroups(now, URGENT.results);
+        ok = (await this.placeIfDue()) && ok;
+        ok = (await this.commitGroups(later, URGENT.starts, TIDY_MS)) && ok;
         if (!ok) for (const name of work) this.dirty.add(name);
         if (!ok) await this.ctx.clock.sleep(100);
         else await this.ctx.clock.sleep(20);
@@ -200,17 +209,10 @@
     return ok;
   }
 
-  /** Commits groups in order, as many to a transaction as fit. False: not all were committed. */
-  private async commitGroups(groups: readonly Group[], urgency: Urgency): Promise<boolean> {
+  /** False: not all were committed, and what is left has to be worked out anew. */
+  private commitGroups(groups: readonly Group[], urgency: Urgency, forMs?: number): Promise<boolean> {
     const { ctx } = this;
-    for (const { ops, guards } of pack(groups, [], ctx.state.settings, ctx.view)) {
-      const r = await ctx.commit(guards, ops, urgency);
-      if (r !== 'ok') {
-        ctx.log.debug({ outcome: r, keys: ops.map((o) => o.key) }, 'commit');
-        return false;
-      }
-    }
-    return true;
+    return commitAll(ctx.state, ctx.follower, groups, urgency, forMs);
   }
 
   /** Results, proofs of absence, cancellations and machines that came up; what can wait for starts stands apart. */
@@ -311,7 +313,8 @@
       const job = view.jobs.get(id);
       if (job === undefined) continue;
       const set = markDone(job.done, indexes);
-      if (set.count >= job.spec.tasks) now.push(this.finish(job, { state: 'done', done: set.count }));
+      // First of all: other jobs may wait for it.
+      if (set.count >= job.spec.tasks) now.unshift(this.finish(job, { state: 'done', done: set.count }));
       else if (t - (this.resultsAt.get(id) ?? Number.NEGATIVE_INFINITY) < resultsMs) continue;
       else {
         this.resultsAt.set(id, t);
@@ -535,7 +538,7 @@
       fetchRank: (m, image) => this.fetchRank(m, image),
       avoid: (job, m) => this.health.avoids(job, m) || this.claimedByOther(job, m),
       recordRoom: room,
-      most: 64,
+      most: Math.max(LEAST_PLANNED, Math.min(MOST_PLANNED, ctx.state.writesWithin(PASS_MS) * 2)),
       keepWhole: this.gangsAbout(),
       yields: ctx.yielding(),
       mayHold: (j) => ctx.mayHold(j),
@@ -544,10 +547,27 @@
     });
     for (const [m, p] of vacant) ledger.vacate(m, p, true);
     this.passed = passed;
+    this.sayWhy(mine);
     for (const p of placements) this.claims.delete(p.machine.name);
     return placements;
   }
 
+  private readonly saidAt = new Map<JobId, number>();
+
+  /** Why a job waits is asked for afterwards, too: it is logged now and then of those that wait for long. */
+  private sayWhy(mine: readonly JobRecord[]): void {
+    const wall = this.ctx.clock.wall();
+    for (const id of this.saidAt.keys()) if (!this.passed.has(id)) this.saidAt.delete(id);
+    for (const { spec, submitted } of mine) {
+      const why = this.passed.get(spec.id);
+      if (why === undefined || wall - Math.max(submitted, this.saidAt.get(spec.id) ?? 0) < SAY_WHY_MS)
+        continue;
+      this.saidAt.set(spec.id, wall);
+      const waitsS = Math.round((wall - submitted) / 1000);
+      this.ctx.log.info({ job: spec.id, team: spec.team, priority: spec.priority, waitsS, why }, 'waits');
+    }
+  }
+
   private async carryOut(placements: readonly Placement[]): Promise<boolean> {
     const { ctx } = this;
     const { view } = ctx;
@@ -560,6 +580,7 @@
       else list.push(p);
     }
     const groups: Group[] = [];
+    const gangs: Group[] = [];
     for (const [name, list] of byMachine) {
       const m = view.machines.get(name)!;
       const gone = this.provenOf(m).filter((e) => this.durable(e));
@@ -590,9 +611,12 @@
         placed,
         ...this.learned(m, mem),
       };
-      groups.push({ ops: [{ key: key.machine(name), value }], guards });
+      // Of a gang all tasks are committed, however long that takes: a part of it would only have to go again.
+      const whole = list.some((p) => p.job.kind === 'gang');
+      (whole ? gangs : groups).push({ ops: [{ key: key.machine(name), value }], guards });
     }
-    return this.commitGroups(groups, URGENT.starts);
+    const ok = await this.commitGroups(gangs, URGENT.starts);
+    return (await this.commitGroups(groups, URGENT.starts)) && ok;
   }
 
   /** What its reports taught of the machine; written along with whatever is written of it. */
--- a/src/io/pacer.ts
+++ b/src/io/pacer.ts
@@ -78,6 +78,12 @@
     return this.queue.length === 0 && this.writes >= this.writeRate / 2 && !short;
   }
 
+  /** How many changes this process can make within the time, as it looks now. */
+  within(ms: number): number {
+    this.refill();
+    return Math.max(0, Math.floor(this.writes + (this.writeRate * this.factor * ms) / 1000));
+  }
+
   /** What was taken was not used after all. */
   giveBack(writes: number): void {
     this.writes += writes;
--- a/src/io/state.ts
+++ b/src/io/state.ts
@@ -110,6 +110,10 @@
     return this.pacer.idle;
   }
 
+  writesWithin(ms: number): number {
+    return this.pacer.within(ms);
+  }
+
   /** True where nothing since the last answer suggests that the service is out of reach. */
   reachable(withinMs: number): boolean {
     return this.contactAt > this.failedAt || this.clock.now() - this.contactAt < withinMs;
@@ -429,3 +433,31 @@
     }
   }
 }
+
+/** A transaction is sent so often again before its plan is given up. */
+const MOST_REFUSALS = 3;
+
+/**
+ * Commits groups in order, as many to a transaction as fit. False: not all were committed. One that was overtaken does not
+ * hold up those behind it, and one that the budget refused is sent again: with small transactions a plan takes seconds to
+ * commit, and to begin anew with each refusal cost most of what was planned. After the time given the rest is left out.
+ */
+export async function commitAll(
+  client: StateClient,
+  follower: Follower,
+  groups: readonly Group[],
+  urgency: Urgency,
+  forMs = Number.POSITIVE_INFINITY,
+): Promise<boolean> {
+  const until = client.clock.now() + forMs;
+  let ok = true;
+  for (const { ops, guards } of pack(groups, [], client.settings, follower.view)) {
+    let r = await commit(client, follower, guards, ops, urgency);
+    for (let i = 0; i < MOST_REFUSALS && r === 'refused' && client.reachable(1000); i++)
+      r = await commit(client, follower, guards, ops, urgency);
+    if (r === 'refused') return false;
+    if (client.clock.now() >= until) return false;
+    ok &&= r === 'ok';
+  }
+  return ok;
+}
--- a/test/commit.test.ts
+++ b/test/commit.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { View } from '../src/core/view.js';
 import type { Reply, Transport } from '../src/io/http.js';
-import { Follower, StateClient, commit, pack } from '../src/io/state.js';
+import { Follower, StateClient, commit, commitAll, pack } from '../src/io/state.js';
 import { URGENT } from '../src/io/pacer.js';
 import { version } from '../src/core/types.js';
 import { StateService } from './sim/state.js';
@@ -12,7 +12,7 @@
 const BUDGET = { rps: 500, writeRps: 500, txnOps: 4 };
 
 /** A client of the stand-in whose first transaction with changes gets no answer, and whose watch is held up. */
-function setUp(fate: 'applied' | 'late' | 'lost') {
+function setUp(fate: 'applied' | 'late' | 'lost' | 'refused') {
   const world = new World(3);
   const state = new StateService(world, BUDGET);
   const clock = new ProcessClock(world, 1, 0);
@@ -28,6 +28,12 @@
         if (path === '/txn' && changes && first) {
           first = false;
           watchHeldUntil = world.now + 9000;
+          if (fate === 'refused') {
+            world.after(5, () => {
+              resolve({ status: 429, body: null });
+            });
+            return;
+          }
           if (fate !== 'lost')
             world.after(fate === 'late' ? 6000 : 5, () => void state.handle(method, path, body));
           return;
@@ -133,6 +139,38 @@
   assert.equal(state.counts.requests, before, 'no request was made for it');
 });
 
+test('a plan goes on after a change that was overtaken, or refused by the budget; after its time the rest is left', async () => {
+  const { world, state, client, follower } = setUp('refused');
+  await world.runUntil(1000);
+  const groups = [...Array(12).keys()].map((i) => ({
+    ops: [{ key: `p/m/${i}`, value: { i } }],
+    guards: [{ key: `p/m/${i}`, version: version(0) }],
+  }));
+  const written = () => [...state.rows.keys()].filter((k) => /^p.m.\d+$/.test(k)).length;
+  let all: boolean | null = null;
+  void commitAll(client, follower, groups, URGENT.starts).then((r) => {
+    all = r;
+  });
+  await world.runUntil(world.now + 2);
+  // Another process is there first, and the watch does not tell of it in time.
+  state.handle('POST', '/txn', { then: [{ write: 'p/m/5', value: {} }] });
+  while (all === null && world.now < 20_000) await world.runUntil(world.now + 50);
+  assert.equal(all, false, 'something was left out');
+  // Four to a transaction: the one with the overtaken change fails as a whole, the others go on.
+  assert.equal(written(), 12 - 3);
+  const rest = [...Array(40).keys()].map((i) => ({
+    ops: [{ key: `p/m/${100 + i}`, value: { i } }],
+    guards: [{ key: `p/m/${100 + i}`, version: version(0) }],
+  }));
+  all = null;
+  void commitAll(client, follower, rest, URGENT.starts, 25).then((r) => {
+    all = r;
+  });
+  while (all === null && world.now < 40_000) await world.runUntil(world.now + 50);
+  assert.equal(all, false);
+  assert.ok(written() > 9 && written() < 9 + 40, `${written()} written`);
+});
+
 test('the late answer to a write brings nothing back that was removed meanwhile', () => {
   const view = new View();
   const key = 'p/j/wk-1';
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -1,5 +1,6 @@
 // The HTTP contract towards users and workers, through the real server with a stand-in behind it.
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { pino } from 'pino';
 import type { Jobs, Submitted } from '../src/controller/jobs.js';
@@ -50,6 +51,24 @@
   assert.deepEqual(seen, ['wk-000412']);
 });
 
+test("the README's example is a valid submission, and what a job waits for is shown", async () => {
+  const { app, seen } = server({
+    find: () => Promise.resolve({ standing: 'pending', done: 0, running: 0, needs: ['wk-000412'] }),
+  });
+  const example = /\{"nameId"[^}]*\}/.exec(readFileSync('README.md', 'utf8'))?.[0];
+  assert.ok(example !== undefined);
+  assert.equal((await post(app, '/v1/jobs', example)).statusCode, 201);
+  assert.deepEqual(seen, ['wk-000413']);
+  const shown = await app.inject({ method: 'GET', url: '/v1/jobs/wk-000413' });
+  assert.deepEqual(shown.json(), {
+    nameId: 'wk-000413',
+    standing: 'pending',
+    done: 0,
+    running: 0,
+    awaits: ['wk-000412'],
+  });
+});
+
 test('malformed submissions get 400 and reach nobody', async () => {
   const { app, seen } = server();
   const bad: unknown[] = [
