--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -3,16 +3,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobId } from '../src/core/types.js';
-import { LIMITS, SMALL, Sim, type Size } from './sim/run.js';
+import { LIMITS, SMALL, quiet, type Sim, type Size } from './sim/run.js';
 
 const LEASE_MS = LIMITS.leaseS * 1000;
 
 /** A run with work under way at 25 s, nothing having gone wrong so far. */
 async function begun(seed: number, size: Size = SMALL): Promise<Sim> {
-  const sim = new Sim(seed, size);
-  sim.copies = 0;
-  sim.smooth = true;
-  await sim.world.runUntil(25_000);
+  const sim = await quiet(seed, size, 25_000);
   assert.ok(sim.running().length >= 3, 'several jobs run');
   return sim;
 }
--- a/test/pacer.test.ts
+++ b/test/pacer.test.ts
@@ -4,15 +4,13 @@
 import { Pacer, URGENT } from '../src/io/pacer.js';
 import { ProcessClock, World } from './sim/world.js';
 
+/** A process whose part of both budgets does not fall, and which may borrow so many times that part. */
+const fixed = (world: World, spare: number) =>
+  new Pacer({ high: 60, low: 60 }, { high: 12, low: 12 }, 200, spare, new ProcessClock(world, 1, 0));
+
 test('reads and users never wait behind bulk changes, and nothing goes beyond the budget', async () => {
   const world = new World(1);
-  const pacer = new Pacer(
-    { high: 60, low: 60 },
-    { high: 12, low: 12 },
-    200,
-    1,
-    new ProcessClock(world, 1, 0),
-  );
+  const pacer = fixed(world, 1);
   const took = { bulk: 0, users: [] as number[], reads: [] as number[] };
   // A wave: far more changes than the budget has for a minute.
   for (let i = 0; i < 100; i++)
@@ -37,13 +35,7 @@
 
 test('a refusal for changes stops changes and not reads', async () => {
   const world = new World(1);
-  const pacer = new Pacer(
-    { high: 60, low: 60 },
-    { high: 12, low: 12 },
-    200,
-    3,
-    new ProcessClock(world, 1, 0),
-  );
+  const pacer = fixed(world, 3);
   await world.runUntil(10_000);
   assert.equal(pacer.idle, true);
   pacer.drained(1);
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -6,15 +6,9 @@
 import { key } from '../src/core/view.js';
 import { jobFromWire } from '../src/io/wire.js';
 import { submission } from './samples.js';
-import { GROWN, LIMITS, SMALL, Sim, type Size } from './sim/run.js';
+import { GROWN, LIMITS, SMALL, Sim, quiet, type Size } from './sim/run.js';
 
-async function begun(seed: number, size: Size = SMALL, ms = 15_000): Promise<Sim> {
-  const sim = new Sim(seed, size);
-  sim.copies = 0;
-  sim.smooth = true;
-  await sim.world.runUntil(ms);
-  return sim;
-}
+const begun = (seed: number, size: Size = SMALL, ms = 15_000) => quiet(seed, size, ms);
 const wait = (sim: Sim, ms: number) => sim.world.runUntil(sim.world.now + ms);
 const job = (sim: Sim, id: string) => sim.fleet.submitted.get(id)!;
 async function until(sim: Sim, what: () => boolean, ms: number): Promise<void> {
--- a/test/sim.test.ts
+++ b/test/sim.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { jobId } from '../src/core/types.js';
 import { Unavailable } from '../src/io/state.js';
-import { FLEET, GROWN, SMALL, Sim, type Size } from './sim/run.js';
+import { FLEET, GROWN, SMALL, Sim, quiet, type Size } from './sim/run.js';
 
 const only = process.env['SIM_SEED'];
 const runs = Number(process.env['SIM_RUNS'] ?? 12);
@@ -51,10 +51,7 @@
 /** A quiet run at 25 s; the first seed whose run by then is what the test needs. */
 async function begun(needs: (sim: Sim) => boolean, size = SMALL): Promise<Sim> {
   for (let seed = 1; seed <= 40; seed++) {
-    const sim = new Sim(seed, size);
-    sim.copies = 0;
-    sim.smooth = true;
-    await sim.world.runUntil(25_000);
+    const sim = await quiet(seed, size, 25_000);
     if (needs(sim)) return sim;
   }
   throw new Error('no seed gives such a run');
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -746,6 +746,29 @@
       on();
       world.after(ms, off);
     };
+    /** A field has another value for so long. */
+    const become = <T, K extends keyof T>(ms: number, of: T, field: K, on: T[K], off: T[K]) => {
+      during(
+        ms,
+        () => {
+          of[field] = on;
+        },
+        () => {
+          of[field] = off;
+        },
+      );
+    };
+    const hang = (x: Worker) => {
+      during(
+        world.int(500, 14_000),
+        () => {
+          x.hung = true;
+        },
+        () => {
+          if (!x.gone) x.resume();
+        },
+      );
+    };
     const crash = (n: Node, ms: number) => {
       if (n.controller === null) return;
       n.crash();
@@ -788,39 +811,13 @@
         );
         break;
       case 5:
-        during(
-          world.int(500, 9000),
-          () => {
-            node.refused = true;
-          },
-          () => {
-            node.refused = false;
-          },
-        );
+        become(world.int(500, 9000), node, 'refused', true, false);
         break;
       case 6:
-        if (w !== null)
-          during(
-            world.int(500, 14_000),
-            () => {
-              w.hung = true;
-            },
-            () => {
-              if (!w.gone) w.resume();
-            },
-          );
+        if (w !== null) hang(w);
         break;
       case 10:
-        if (w !== null)
-          during(
-            world.int(2000, 30_000),
-            () => {
-              w.deaf = true;
-            },
-            () => {
-              w.deaf = false;
-            },
-          );
+        if (w !== null) become(world.int(2000, 30_000), w, 'deaf', true, false);
         break;
       case 11:
         during(
@@ -833,69 +830,27 @@
         );
         break;
       case 12:
-        during(
-          world.int(3000, 12_000),
-          () => {
-            this.lateWrites = 0.15;
-          },
-          () => {
-            this.lateWrites = 0;
-          },
-        );
+        become(world.int(3000, 12_000), this, 'lateWrites', 0.15, 0);
         break;
       case 13:
-        if (w !== null)
-          during(
-            world.int(2000, 20_000),
-            () => {
-              w.mute = true;
-            },
-            () => {
-              w.mute = false;
-            },
-          );
+        if (w !== null) become(world.int(2000, 20_000), w, 'mute', true, false);
         break;
       case 14:
         // The one that leads is refused alone, users call jobs off, and then the service is out for all.
         this.refuseThenOut(world.int(200, 4000), world.int(2000, 14_000));
         break;
       case 17:
-        during(
-          world.int(4000, 15_000),
-          () => {
-            this.offAtEnd = 0.5;
-          },
-          () => {
-            this.offAtEnd = 0;
-          },
-        );
+        become(world.int(4000, 15_000), this, 'offAtEnd', 0.5, 0);
         break;
       case 18:
         for (let i = 0; i < 5; i++) this.odd();
         break;
       case 15:
         for (const id of this.running().slice(0, world.int(1, 6))) this.callOff(id);
-        if (w !== null && world.chance(0.5))
-          during(
-            world.int(500, 14_000),
-            () => {
-              w.hung = true;
-            },
-            () => {
-              if (!w.gone) w.resume();
-            },
-          );
+        if (w !== null && world.chance(0.5)) hang(w);
         break;
       case 16:
-        during(
-          world.int(2000, 9000),
-          () => {
-            this.stateSlowMs = 1500;
-          },
-          () => {
-            this.stateSlowMs = 0;
-          },
-        );
+        become(world.int(2000, 9000), this, 'stateSlowMs', 1500, 0);
         break;
       case 7:
         if (w !== null) {
@@ -927,3 +882,12 @@
     }
   }
 }
+
+/** A run in which nothing has gone wrong by itself up to the time given, for tests of one trouble alone. */
+export async function quiet(seed: number, size: Size, ms: number): Promise<Sim> {
+  const sim = new Sim(seed, size);
+  sim.copies = 0;
+  sim.smooth = true;
+  await sim.world.runUntil(ms);
+  return sim;
+}
