Pipelines: submissions stay known, hundreds of needs fit, rejected changes hold nobody up

A key too large to be written back is not chosen to settle a lost transaction. - Final states that a process commits itself are not read back.

--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -98,13 +98,23 @@
       clock,
       stateHttp,
       watchHttp,
+      (ops, answer) => {
+        log.error({ keys: ops.map((o) => o.key), answer }, 'transaction rejected');
+      },
     );
     this.finals = new Finals(this.state);
     this.needs = new Needs(this, this.finals);
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
-    this.follower = new Follower(this.state, this.view, (keys) => {
-      for (const l of this.listeners) l(keys);
-    });
+    this.follower = new Follower(
+      this.state,
+      this.view,
+      (keys) => {
+        for (const l of this.listeners) l(keys);
+      },
+      (ops) => {
+        this.finals.committed(ops);
+      },
+    );
   }
 
   get types(): ReadonlyMap<TypeName, MachineType> {
--- a/src/controller/finals.ts
+++ b/src/controller/finals.ts
@@ -1,13 +1,16 @@
 // Final states of jobs: kept by the state service for ever, remembered here within bounds.
 import type { FinalRecord, JobId } from '../core/types.js';
-import { key } from '../core/view.js';
+import { finalJobOf, key } from '../core/view.js';
 import { URGENT } from '../io/pacer.js';
 import type { StateClient } from '../io/state.js';
+import type { Op } from '../io/wire.js';
 
 const KEPT = 5000;
 
 export class Finals {
   private readonly known = new Map<JobId, FinalRecord>();
+  /** How many final states were asked for. */
+  reads = 0;
 
   constructor(private readonly state: StateClient) {}
 
@@ -15,18 +18,31 @@
     return this.known.get(id);
   }
 
+  /** Takes in final states that this process has just committed. */
+  committed(ops: readonly Op[]): void {
+    for (const op of ops) {
+      const id = finalJobOf(op.key);
+      if (id !== null && op.value !== undefined) this.remember(id, op.value as FinalRecord);
+    }
+  }
+
+  private remember(id: JobId, final: FinalRecord): void {
+    if (this.known.size >= KEPT) {
+      const oldest = this.known.keys().next().value;
+      if (oldest !== undefined) this.known.delete(oldest);
+    }
+    this.known.set(id, final);
+  }
+
   /** Reads the job's final state; undefined where it has none. */
   async read(id: JobId): Promise<FinalRecord | undefined> {
     const known = this.known.get(id);
     if (known !== undefined) return known;
+    this.reads++;
     const { value } = await this.state.get(key.final(id), URGENT.users);
     if (value === undefined) return undefined;
     const final = value as FinalRecord;
-    if (this.known.size >= KEPT) {
-      const oldest = this.known.keys().next().value;
-      if (oldest !== undefined) this.known.delete(oldest);
-    }
-    this.known.set(id, final);
+    this.remember(id, final);
     return final;
   }
 }
--- a/src/controller/jobs.ts
+++ b/src/controller/jobs.ts
@@ -1,5 +1,6 @@
 // Submitting, showing and cancelling jobs: what users are told, and only after it is committed.
-import { NONE_DONE, WINDOW, judge } from '../core/jobs.js';
+import { NONE_DONE, judge } from '../core/jobs.js';
+import { storedJob } from '../core/records.js';
 import { NO_VERSION, type FinalRecord, type JobId, type JobRecord, type JobSpec } from '../core/types.js';
 import { key } from '../core/view.js';
 import { Unavailable } from '../io/state.js';
@@ -28,15 +29,6 @@
   | { readonly kind: 'not_found' }
   | { readonly kind: 'later' };
 
-/**
- * Whether the record stays below the limit for a value until the job ends: results add a bitmap of what is done. One that
- * does not is refused with its status, since its change would be refused for ever.
- */
-function fitsValue(record: JobRecord, limit: number): boolean {
-  const bitmap = Math.ceil(Math.min(record.spec.tasks, WINDOW) / 6) + 30;
-  return Buffer.byteLength(JSON.stringify(record)) + bitmap <= limit;
-}
-
 /** How long a cancellation is worked on before its user is told to come back. */
 const CANCEL_WAIT_MS = 3000;
 
@@ -68,38 +60,29 @@
     const { view } = ctx;
     if (!ctx.follower.ready || view.types === null || !ctx.state.reachable(1500)) return { kind: 'later' };
     const verdict = judge(spec, ctx.teams, view.types);
-    if (verdict !== 'ok') {
-      // A job that was accepted stays accepted, whatever has changed since.
-      const known = await this.find(spec.id);
-      return known === undefined
-        ? { kind: 'impossible', why: verdict }
-        : { kind: 'known', standing: known.standing };
-    }
+    if (verdict !== 'ok') return this.knownOrImpossible(spec.id, verdict);
     if (view.jobs.has(spec.id) || this.ctx.finals.cached(spec.id) !== undefined) {
       const known = await this.find(spec.id);
       if (known !== undefined) return { kind: 'known', standing: known.standing };
     }
     const { needs: named = [], ...rest } = spec;
     const needs = await this.needsLeft(spec.id, named);
-    if (needs === 'unknown_need') {
-      const known = await this.find(spec.id);
-      return known === undefined
-        ? { kind: 'impossible', why: needs }
-        : { kind: 'known', standing: known.standing };
-    }
+    if (needs === 'unknown_need') return this.knownOrImpossible(spec.id, needs);
     const record: JobRecord = {
       spec: needs === 'cancelled' || needs.length === 0 ? rest : { ...rest, needs },
       phase: 'active',
       done: NONE_DONE,
       submitted: this.ctx.clock.wall(),
     };
-    if (!fitsValue(record, ctx.state.settings.valueBytes)) return { kind: 'impossible', why: 'too_large' };
+    // One that does not fit is refused with its status: its change would be refused for ever.
+    const stored = storedJob(record, ctx.state.settings.valueBytes);
+    if (stored === null) return this.knownOrImpossible(spec.id, 'too_large');
     // One that names a cancelled job is accepted, and is over at once.
     const over: FinalRecord = { state: 'cancelled', done: 0, at: record.submitted };
     const ops =
       needs === 'cancelled'
         ? [{ key: key.final(spec.id), value: over }]
-        : [{ key: key.job(spec.id), value: record }];
+        : [{ key: key.job(spec.id), value: stored }];
     const guards = [
       { key: key.job(spec.id), version: NO_VERSION },
       { key: key.final(spec.id), version: NO_VERSION },
@@ -121,6 +104,12 @@
     return { kind: 'later' };
   }
 
+  /** A job that was accepted stays accepted, whatever has changed since: limits, teams, machine types. */
+  private async knownOrImpossible(id: JobId, why: string): Promise<Submitted> {
+    const known = await this.find(id);
+    return known === undefined ? { kind: 'impossible', why } : { kind: 'known', standing: known.standing };
+  }
+
   /**
    * Which of the jobs that it names are not done yet; whether they were accepted is decided as freshly as a poll is.
    * Throws `Unavailable` where that cannot be known now.
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -494,11 +494,8 @@
     const ops: Op[] = parts.map((value, i) => ({ key: i === 0 ? key.types : key.moreTypes(i), value }));
     for (let i = parts.length; ctx.view.entries.has(key.moreTypes(i)); i++)
       ops.push({ key: key.moreTypes(i), value: undefined });
-    await this.commit(
-      ops,
-      ops.map((o) => ctx.guard(o.key)),
-      URGENT.starts,
-    );
+    // A list longer than a transaction takes is written in several: its parts are read one by one in any case.
+    await this.commitEach(ops, URGENT.starts);
   }
 
   /** Looks over the cloud's list for machines that no record knows, and for those that failed. */
--- a/src/controller/needs.ts
+++ b/src/controller/needs.ts
@@ -4,6 +4,7 @@
   dependencies,
   judgeNeeds,
   needsOf,
+  unreadOf,
   type Dependencies,
   type Dependency,
 } from '../core/needs.js';
@@ -21,7 +22,8 @@
   private now: Dependencies | null = null;
   /** The state of the view from which that follows. */
   private at = -1;
-  private unknown = false;
+  /** Some final state is unread that decides about a waiting job. */
+  private incomplete = false;
   private reading = false;
 
   constructor(
@@ -59,9 +61,9 @@
     if (this.now === null || this.at !== jobChanges) {
       this.at = jobChanges;
       this.now = dependencies(this.input);
-      this.unknown = [...this.now.of.values()].some((d) => d.kind === 'unknown');
+      this.incomplete = [...this.now.of.values()].some((d) => unreadOf(d).length > 0);
     }
-    if (this.unknown) this.readSoon();
+    if (this.incomplete) this.readSoon();
     return this.now;
   }
 
@@ -100,8 +102,7 @@
     const { ctx } = this;
     for (;;) {
       const unread = new Map<JobId, JobId>();
-      for (const [id, d] of this.all().of)
-        if (d.kind === 'unknown') for (const need of d.unread) unread.set(need, id);
+      for (const [id, d] of this.all().of) for (const need of unreadOf(d)) unread.set(need, id);
       if (unread.size === 0) return;
       const some = [...unread].slice(0, READS_AT_ONCE);
       const read = await Promise.all(some.map(([need]) => this.finals.read(need).catch(() => undefined)));
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -37,6 +37,7 @@
   type TeamName,
   type Token,
 } from '../core/types.js';
+import { storedJob, type StoredJob } from '../core/records.js';
 import { key } from '../core/view.js';
 import { URGENT, type Urgency } from '../io/pacer.js';
 import { commitAll, type Group } from '../io/state.js';
@@ -319,7 +320,7 @@
       else {
         this.resultsAt.set(id, t);
         later.push({
-          ops: [{ key: key.job(id), value: { ...job, done: set } satisfies JobRecord }],
+          ops: [{ key: key.job(id), value: this.stored({ ...job, done: set }) }],
           guards: [ctx.guard(key.job(id))],
         });
       }
@@ -454,12 +455,16 @@
     return [ctx.guard(key.team(team)), ctx.guard(key.slice(ctx.view.teams.get(team)!.owner))];
   }
 
+  private stored(job: JobRecord): StoredJob {
+    return storedJob(job, this.ctx.state.settings.valueBytes) ?? job;
+  }
+
   private cancelling(job: JobRecord): Group {
     const { ctx } = this;
     const { id, team } = job.spec;
     ctx.log.info({ job: id }, 'cancelling');
     return {
-      ops: [{ key: key.job(id), value: { ...job, phase: 'cancelling' } satisfies JobRecord }],
+      ops: [{ key: key.job(id), value: this.stored({ ...job, phase: 'cancelling' }) }],
       guards: [ctx.guard(key.job(id)), ...this.teamGuards(team)],
     };
   }
@@ -474,7 +479,8 @@
     ];
     const guards: Guard[] = [ctx.guard(key.job(id)), { key: key.final(id), version: NO_VERSION }];
     if (final.state === 'cancelled') guards.push(...this.teamGuards(team));
-    if (ctx.view.cancels.has(id)) {
+    // Where a transaction takes fewer changes, the leader removes what is left of the request.
+    if (ctx.view.cancels.has(id) && ops.length < ctx.state.settings.txnOps) {
       ops.push({ key: key.cancel(id), value: undefined });
       guards.push(ctx.guard(key.cancel(id)));
     }
--- a/src/core/needs.ts
+++ b/src/core/needs.ts
@@ -6,7 +6,8 @@
 export type Dependency =
   /** All needed jobs are done; since when, as far as their final states tell. */
   | { readonly kind: 'ready'; readonly since: WallMs }
-  | { readonly kind: 'blocked'; readonly by: readonly JobId[] }
+  /** Some are unfinished; of the others, those whose final states are not read yet may have been cancelled. */
+  | { readonly kind: 'blocked'; readonly by: readonly JobId[]; readonly unread: readonly JobId[] }
   /** Needed jobs are over, and how is not read yet. */
   | { readonly kind: 'unknown'; readonly unread: readonly JobId[] }
   /** A job that it needs, directly or through others, was cancelled. */
@@ -76,7 +77,7 @@
     else if (final.at !== undefined && final.at > since) since = final.at;
   }
   if (begun) return { kind: 'ready', since };
-  if (by.length > 0) return { kind: 'blocked', by };
+  if (by.length > 0) return { kind: 'blocked', by, unread };
   if (unread.length > 0) return { kind: 'unknown', unread };
   return { kind: 'ready', since };
 }
@@ -87,6 +88,10 @@
   return of;
 }
 
+/** Needed jobs that are over and whose final states have to be read to decide about the job. */
+export const unreadOf = (dependency: Dependency): readonly JobId[] =>
+  dependency.kind === 'blocked' || dependency.kind === 'unknown' ? dependency.unread : [];
+
 /** The job and the unfinished ones that it needs, through any depth. */
 export function chainOf(job: JobRecord, jobs: ReadonlyMap<JobId, JobRecord>): ReadonlySet<JobRecord> {
   const found = new Set<JobRecord>([job]);
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -1,5 +1,7 @@
-// How large records are: the state service takes values up to a limit, which may fall while we run.
-import type { JobSpec, MachineRecord, Placed } from './types.js';
+// How records are stored: the state service takes values up to a limit, which may fall while we run.
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { WINDOW } from './jobs.js';
+import type { JobId, JobRecord, JobSpec, MachineRecord, Placed } from './types.js';
 
 /** How many bytes a value has in the state service. */
 export const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
@@ -28,6 +30,38 @@
   return bytesOf(merged) <= limit ? merged : null;
 }
 
+/**
+ * A job's record as the state service keeps it. A list of dependencies that would not fit is compressed; versions before
+ * pipelines ignore it in either form.
+ */
+export interface StoredJob extends Omit<JobRecord, 'spec'> {
+  readonly spec: JobSpec & { readonly packedNeeds?: string };
+}
+
+/** What a bitmap of results may add to a job's record until it ends. */
+const resultBytes = (tasks: number): number => Math.ceil(Math.min(tasks, WINDOW) / 6) + 30;
+
+/** Null where the record could come to exceed the limit, whatever is done. */
+export function storedJob(record: JobRecord, limit: number): StoredJob | null {
+  const room = limit - resultBytes(record.spec.tasks);
+  const bare = { ...record, done: { ...record.done, bits: '' } };
+  if (bytesOf(bare) <= room) return record;
+  const { needs, ...spec } = record.spec;
+  if (needs === undefined) return null;
+  const packedNeeds = deflateRawSync(needs.join(' ')).toString('base64');
+  return bytesOf({ ...bare, spec: { ...spec, packedNeeds } }) <= room
+    ? { ...record, spec: { ...spec, packedNeeds } }
+    : null;
+}
+
+/** The record as the scheduler uses it, whichever version wrote it. */
+export function jobFromStored(stored: StoredJob): JobRecord {
+  if (stored.spec?.packedNeeds === undefined) return stored;
+  const { packedNeeds, ...spec } = stored.spec;
+  const needs = inflateRawSync(Buffer.from(packedNeeds, 'base64')).toString().split(' ') as JobId[];
+  return { ...stored, spec: { ...spec, needs } };
+}
+
 /** A list in parts that each stay within the limit, in order. */
 export function partsWithin<T>(list: readonly T[], limit: number): T[][] {
   const parts: T[][] = [[]];
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,6 +1,7 @@
 // One process's picture of the shared state, built from a listing and the watch that follows it. Everything
 // the schedulers read stands under one prefix and so arrives in one order: a view at revision R holds
 // exactly what was committed up to R, plus this process's own newer writes.
+import { jobFromStored, type StoredJob } from './records.js';
 import {
   token,
   version,
@@ -26,6 +27,7 @@
 export const ROOT = 'p/';
 export const MACHINES = 'p/m/';
 const MORE_TYPES = 'p/types/';
+const FINAL = 'f/';
 export const key = {
   job: (id: JobId) => `p/j/${id}`,
   machine: (name: MachineName) => `p/m/${name}`,
@@ -41,9 +43,13 @@
   /** What does not fit there; the version before pipelines reads the first part only. */
   moreTypes: (n: number) => `${MORE_TYPES}${n}`,
   /** Outside the watched prefix: finished jobs are kept for ever and read only when asked for. */
-  final: (id: JobId) => `f/${id}`,
+  final: (id: JobId) => `${FINAL}${id}`,
 };
 
+/** The job whose final state the key holds; null for any other key. */
+export const finalJobOf = (k: string): JobId | null =>
+  k.startsWith(FINAL) ? (k.slice(FINAL.length) as JobId) : null;
+
 export interface Entry {
   readonly value: unknown;
   readonly version: Version;
@@ -134,7 +140,8 @@
     };
     const rest = k.slice(4);
     if (k.startsWith('p/j/')) {
-      set(this.jobs, rest as JobId);
+      if (value === undefined) this.jobs.delete(rest as JobId);
+      else this.jobs.set(rest as JobId, jobFromStored(value as StoredJob));
       this.jobChanges++;
     } else if (k.startsWith('p/m/')) {
       set(this.machines, rest as MachineName);
--- a/src/io/state.ts
+++ b/src/io/state.ts
@@ -32,6 +32,8 @@
   | { readonly kind: 'conflict'; readonly rev: Revision; readonly failed: readonly string[] }
   | { readonly kind: 'no_lease' }
   | { readonly kind: 'refused' }
+  /** Malformed or above a limit: sent again, it would be rejected again. */
+  | { readonly kind: 'rejected' }
   /** Not sent: its guards had failed already when its turn came. */
   | { readonly kind: 'stale' }
   | { readonly kind: 'unknown' };
@@ -56,6 +58,8 @@
     private readonly http: Transport,
     /** Apart from the others, since a watch holds its connection. */
     private readonly watchHttp: Transport,
+    /** Told of each transaction that the service rejects for good. */
+    private readonly rejected: (ops: readonly Op[], answer: unknown) => void = () => undefined,
   ) {
     this.pacer = new Pacer(
       { high: (settings.rps / settings.nodes) * 0.9, low: (settings.lowRps / settings.nodes) * 0.9 },
@@ -140,6 +144,10 @@
     if (r.status === 409)
       return { kind: 'conflict', rev: wire.revisionFromWire(r.body), failed: wire.failedFromWire(r.body) };
     if (r.status === 400 && ops.some((o) => o.lease !== undefined)) return { kind: 'no_lease' };
+    if (r.status === 400) {
+      this.rejected(ops, r.body);
+      return { kind: 'rejected' };
+    }
     throw new Error(`transaction: ${r.status} ${JSON.stringify(r.body)}`);
   }
 
@@ -217,6 +225,8 @@
     private readonly client: StateClient,
     readonly view: View,
     private readonly changed: (keys: ReadonlySet<string>) => void,
+    /** Told of each change that this process has committed, before the view is. */
+    private readonly committed: (ops: readonly Op[]) => void = () => undefined,
   ) {}
 
   async run(): Promise<never> {
@@ -306,6 +316,7 @@
 
   /** Takes in this process's own commit without waiting for the watch. */
   applied(ops: readonly Op[], rev: Revision): void {
+    this.committed(ops);
     const keys = new Set<string>();
     for (const o of ops) {
       if (!o.key.startsWith(ROOT)) continue;
@@ -382,25 +393,19 @@
   guards: readonly Guard[],
   ops: readonly Op[],
   urgency: Urgency,
-): Promise<'ok' | 'conflict' | 'refused'> {
+): Promise<'ok' | 'conflict' | 'refused' | 'rejected'> {
   const r = await client.txn(guards, ops, urgency, () => outdated(follower.view, guards));
   if (r.kind === 'ok') {
     follower.applied(ops, r.rev);
     return 'ok';
   }
-  if (r.kind === 'refused') return 'refused';
+  if (r.kind === 'refused' || r.kind === 'rejected') return r.kind;
   if (r.kind === 'conflict') {
     await follower.reached(r.rev, 2000);
     return 'conflict';
   }
   if (r.kind === 'no_lease' || r.kind === 'stale') return 'conflict';
-  // Best a key that the transaction writes itself: the versions of the others mean something to others.
-  const existing = guards.filter((g) => g.version > 0);
-  const pivot =
-    existing.find((g) => ops.some((o) => o.key === g.key)) ??
-    existing.find((g) => g.key !== key.leader) ??
-    existing[0];
-  if (pivot === undefined) throw new Error('a transaction must be guarded on a key that exists');
+  const pivot = pivotOf(client, follower.view, guards, ops);
   for (;;) {
     const known = follower.view.entries.get(pivot.key);
     // The view knows a newer version already: whatever can have been applied is in it, or soon will be.
@@ -417,6 +422,22 @@
   }
 }
 
+/**
+ * The guarded key to write anew after a transaction without an answer. Best one that the transaction writes itself: the
+ * versions of the others mean something to others. A value stored under a higher limit can't be written back.
+ */
+function pivotOf(client: StateClient, view: View, guards: readonly Guard[], ops: readonly Op[]): Guard {
+  const fitsLimit = (g: Guard) =>
+    bytesOf(view.entries.get(g.key)?.value ?? null) <= client.settings.valueBytes;
+  const existing = guards.filter((g) => g.version > 0 && fitsLimit(g));
+  const pivot =
+    existing.find((g) => ops.some((o) => o.key === g.key)) ??
+    existing.find((g) => g.key !== key.leader) ??
+    existing[0];
+  if (pivot === undefined) throw new Error('a transaction must be guarded on a key that exists');
+  return pivot;
+}
+
 /**
  * Waits, however long it takes, until the view holds all that was committed before the call. Going on with
  * an older view could place a task a second time whose first placement is not in it yet.
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -6,26 +6,8 @@
 import { key } from '../src/core/view.js';
 import { jobFromWire } from '../src/io/wire.js';
 import { submission } from './samples.js';
-import { GROWN, LIMITS, SMALL, Sim, quiet, type Size } from './sim/run.js';
-
-const begun = (seed: number, size: Size = SMALL, ms = 15_000) => quiet(seed, size, ms);
-const wait = (sim: Sim, ms: number) => sim.world.runUntil(sim.world.now + ms);
-const job = (sim: Sim, id: string) => sim.fleet.submitted.get(id)!;
-async function until(sim: Sim, what: () => boolean, ms: number): Promise<void> {
-  for (const end = sim.world.now + ms; sim.world.now < end && !what();) await wait(sim, 50);
-  assert.ok(what(), `not within ${ms} ms`);
-}
-const one = (sim: Sim, needs: readonly string[], tasks = 1, fields = {}) =>
-  sim.submit({
-    kind: 'sweep',
-    stays: true,
-    tasks,
-    needs,
-    fields: { cards: 0, vcpus: 1, memoryGb: 1, loaner: true, ...fields },
-  });
-/** Withdrawn for its user, without anything of it having run. */
-const withdrawn = (sim: Sim, id: string) =>
-  job(sim, id).toldFinal === 'cancelled' && job(sim, id).doneTasks.size === 0;
+import { begun, job, one, until, wait, withdrawn } from './sim/pipelines.js';
+import { GROWN, LIMITS, SMALL, Sim } from './sim/run.js';
 
 for (const [name, trouble] of [
   ['with nothing else', () => undefined],
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -91,6 +91,8 @@
   /** What the node cannot reach now. */
   readonly cut = new Set<'state' | 'workers' | 'peers'>();
   refused = false;
+  /** How much later than usual the watch tells this node of changes. */
+  watchLagMs = 0;
   /** It runs the version before pipelines: it knows nothing of lower limits, and its final states have no time. */
   old = false;
 
@@ -112,7 +114,7 @@
       request: (method, path, body, timeoutMs) =>
         new Promise<Reply>((resolve, reject) => {
           const give = (r: Reply) => {
-            world.after(world.int(1, 12), () => {
+            world.after(world.int(1, 12) + (watch ? this.watchLagMs : 0), () => {
               if (!clock.dead && !this.cut.has('state')) resolve(r);
             });
           };
