--- a/src/controller/standing.ts
+++ b/src/controller/availability.ts
@@ -9,11 +9,11 @@
 /** How long it counts what a peer said. */
 const KNOWN_MS = 5000;
 
-export class Standing {
+export class Availability {
   /** What the peers said last: whether any of them has contact to the state service. */
   private heard = { contact: true, at: Number.NEGATIVE_INFINITY };
   /** Neither the state service nor any other controller answers: they may all be gone, or this one's zone is cut off. */
-  alone = false;
+  isolated = false;
 
   constructor(
     private readonly ctx: Context,
@@ -32,7 +32,7 @@
    * so that nobody can have taken the slice. Cut off from the service and from all peers it can know neither: then
    * its workers have to go, before their leases run out, to a controller that can act for them.
    */
-  get holds(): boolean {
+  get mayAnswerWorkers(): boolean {
     return this.membership.valid || this.outage;
   }
 
@@ -51,13 +51,13 @@
     for (;;) {
       await ctx.clock.sleep(ASK_MS);
       if (ctx.state.reachable(1500)) {
-        this.alone = false;
+        this.isolated = false;
         continue;
       }
       const answers = await Promise.all([...this.peers.values()].map((p) => p.contact(ANSWER_MS)));
       const contact = answers.includes(true);
-      this.alone = !contact && !answers.includes(false);
-      if (!this.alone) this.heard = { contact, at: ctx.clock.now() };
+      this.isolated = !contact && !answers.includes(false);
+      if (!this.isolated) this.heard = { contact, at: ctx.clock.now() };
     }
   }
 }
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -4,9 +4,10 @@
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../core/clock.js';
 import { Ledger } from '../core/ledger.js';
-import { bytesOf } from '../core/records.js';
-import { Finals } from './finals.js';
-import { Needs } from './needs.js';
+import { key } from '../core/keys.js';
+import { bytesOf, storedJob, type StoredJob } from '../core/records.js';
+import { FinalStates } from './final-states.js';
+import { DependencyTracker } from './dependency-tracker.js';
 import {
   incarnation,
   type Incarnation,
@@ -20,10 +21,13 @@
   type TeamName,
   type TypeName,
 } from '../core/types.js';
+import { changesOf, type Changes } from '../core/changes.js';
 import { View } from '../core/view.js';
-import { Follower, StateClient, commit } from '../io/state.js';
+import { StateClient } from '../io/state/client.js';
+import { Follower } from '../io/state/follower.js';
+import { commit } from '../io/state/transactions.js';
 import type { Transport } from '../io/http.js';
-import type { Urgency } from '../io/pacer.js';
+import type { Urgency } from '../io/rate-limiter.js';
 import type { Guard, Op } from '../io/wire.js';
 
 const MOST_IMAGES_BYTES = 300;
@@ -31,43 +35,18 @@
 const MARK_BYTES = 13;
 const LATER_BYTES = 130;
 
-/** Wakes a loop early; several calls while it works count as one. */
-export class Bell {
-  private rung = false;
-  private go: (() => void) | null = null;
-
-  constructor(private readonly clock: Clock) {}
-
-  ring(): void {
-    this.rung = true;
-    this.go?.();
-  }
-
-  async wait(ms: number): Promise<void> {
-    if (!this.rung) {
-      let stop: () => void = () => undefined;
-      await new Promise<void>((r) => {
-        this.go = r;
-        stop = this.clock.after(ms, r);
-      });
-      stop();
-    }
-    this.go = null;
-    this.rung = false;
-  }
-}
-
 export class Context {
   readonly incarnation: Incarnation;
   readonly view = new View();
   readonly state: StateClient;
   readonly follower: Follower;
-  readonly finals: Finals;
-  readonly needs: Needs;
+  readonly finalStates: FinalStates;
+  readonly dependencies: DependencyTracker;
   readonly teams: ReadonlyMap<TeamName, Team>;
   /** Sessions as this process saw them appear. */
   readonly sessionSince = new Map<string, Steady>();
-  readonly listeners: ((keys: ReadonlySet<string>) => void)[] = [];
+  /** Told of changes after the view has taken them in. */
+  readonly listeners: ((changes: Changes) => void)[] = [];
   private ledgerNow: Ledger | null = null;
   private ledgerTypes: ReadonlyMap<TypeName, MachineType> | null = null;
   private typesFrom: readonly MachineType[] | null = null;
@@ -102,21 +81,26 @@
         log.error({ keys: ops.map((o) => o.key), answer }, 'transaction rejected');
       },
     );
-    this.finals = new Finals(this.state);
-    this.needs = new Needs(this, this.finals);
+    this.finalStates = new FinalStates(this.state);
+    this.dependencies = new DependencyTracker(this, this.finalStates);
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
     this.follower = new Follower(
       this.state,
       this.view,
       (keys) => {
-        for (const l of this.listeners) l(keys);
+        this.notify(changesOf(keys));
       },
       (ops) => {
-        this.finals.committed(ops);
+        this.finalStates.committed(ops);
       },
     );
   }
 
+  /** Tells all listeners of changes. */
+  notify(changes: Changes): void {
+    for (const listener of this.listeners) listener(changes);
+  }
+
   get types(): ReadonlyMap<TypeName, MachineType> {
     if (this.typesFrom !== this.view.types) {
       this.typesFrom = this.view.types;
@@ -156,7 +140,7 @@
   /** The controller that answers the machine in its owner's place, if one does. */
   substituteOf(m: MachineRecord): string | null {
     const holder = this.view.slices.get(m.owner)?.holder;
-    for (const [node, set] of this.view.alive) if (node !== holder && set.has(m.name)) return node;
+    for (const [node, set] of this.view.substitutes) if (node !== holder && set.has(m.name)) return node;
     return null;
   }
 
@@ -173,7 +157,7 @@
    */
   yielding(): (job: JobRecord) => boolean {
     const ledger = this.ledger();
-    const wanted = this.needs
+    const wanted = this.dependencies
       .all()
       .startable.some(
         ({ spec, phase }) =>
@@ -210,6 +194,16 @@
     return { key, version: this.view.versionOf(key) };
   }
 
+  /** They fail once this process no longer owns the team. */
+  teamGuards(team: TeamName): Guard[] {
+    return [this.guard(key.team(team)), this.guard(key.slice(this.view.teams.get(team)!.owner))];
+  }
+
+  /** The job's record as it is written, within the limit for a value where that is possible. */
+  storedJob(job: JobRecord): StoredJob {
+    return storedJob(job, this.state.settings.valueBytes) ?? job;
+  }
+
   commit(guards: readonly Guard[], ops: readonly Op[], urgency: Urgency) {
     return commit(this.state, this.follower, guards, ops, urgency);
   }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -14,11 +14,11 @@
 import { Context } from './context.js';
 import { Health } from './health.js';
 import { Jobs } from './jobs.js';
-import { Leader } from './leader.js';
+import { Leader } from './leader/leader.js';
 import { Membership } from './membership.js';
-import { Owner } from './owner.js';
-import { Reports } from './reports.js';
-import { Standing } from './standing.js';
+import { Owner } from './owner/owner.js';
+import { ReportRouter } from './report-router.js';
+import { Availability } from './availability.js';
 import { status } from './status.js';
 
 /** The world outside, as one controller reaches it. */
@@ -39,9 +39,9 @@
   readonly owner: Owner;
   readonly leader: Leader;
   readonly jobs: Jobs;
-  readonly reports: Reports;
+  readonly reports: ReportRouter;
 
-  readonly standing: Standing;
+  readonly availability: Availability;
 
   constructor(settings: Settings, operator: Operator, log: Logger, outside: Outside) {
     const ctx = new Context(
@@ -56,7 +56,7 @@
     const health = new Health(ctx);
     this.ctx = ctx;
     this.membership = new Membership(ctx);
-    this.standing = new Standing(ctx, this.membership, outside.peers);
+    this.availability = new Availability(ctx, this.membership, outside.peers);
     this.owner = new Owner(ctx, outside.workers, health);
     this.leader = new Leader(
       ctx,
@@ -64,7 +64,15 @@
       new CloudClient(outside.cloud, settings.cloudLimits.rps, outside.clock),
     );
     this.jobs = new Jobs(ctx, this.owner, outside.peers);
-    this.reports = new Reports(ctx, this.owner, this.leader, health, this.membership, this.standing);
+    this.reports = new ReportRouter(ctx, this.owner, this.leader, health, this.membership, this.availability);
+  }
+
+  private async logUsage(): Promise<never> {
+    const { clock, log, state } = this.ctx;
+    for (;;) {
+      await clock.sleep(USAGE_EVERY_MS);
+      log.info(state.usage.snapshot(), 'state service usage');
+    }
   }
 
   async run(): Promise<void> {
@@ -74,11 +82,15 @@
       this.owner.run(),
       this.leader.run(),
       this.reports.run(),
-      this.standing.run(),
+      this.availability.run(),
+      this.logUsage(),
     ]);
   }
 }
 
+/** Usage of the state service is logged so often. */
+const USAGE_EVERY_MS = 30_000;
+
 const split = (address: string): [string, number] => {
   const at = address.lastIndexOf(':');
   return [address.slice(0, at), Number(address.slice(at + 1))];
@@ -105,8 +117,8 @@
     log,
     jobs: controller.jobs,
     reports: controller.reports,
-    healthy: () => controller.standing.healthy,
-    status: () => status(controller.ctx, controller.owner, controller.standing.healthy),
+    healthy: () => controller.availability.healthy,
+    status: () => status(controller.ctx, controller.owner, controller.availability.healthy),
     maxConnections: Math.floor(sockets * 0.85),
     leastInProgress: operator.users.least_in_progress,
     mostInProgress: operator.users.most_in_progress,
--- a/src/controller/needs.ts
+++ b/src/controller/dependency-tracker.ts
@@ -1,24 +1,24 @@
 // Reads the final states of jobs that others need, and keeps what follows from them at hand.
 import {
   chainOf,
-  dependencies,
+  judgeDependencies,
   judgeNeeds,
   needsOf,
   unreadOf,
   type Dependencies,
   type Dependency,
-} from '../core/needs.js';
+} from '../core/dependencies.js';
 import type { JobId, JobRecord } from '../core/types.js';
-import { key } from '../core/view.js';
-import { Unavailable } from '../io/state.js';
+import { jobChanges } from '../core/changes.js';
+import { Unavailable } from '../io/state/client.js';
 import type { Context } from './context.js';
-import type { Finals } from './finals.js';
+import type { FinalStates } from './final-states.js';
 
 /** So many final states are read at once; a takeover may have hundreds of jobs that wait. */
 const READS_AT_ONCE = 8;
 const AGAIN_MS = 250;
 
-export class Needs {
+export class DependencyTracker {
   private now: Dependencies | null = null;
   /** The state of the view from which that follows. */
   private at = -1;
@@ -28,15 +28,11 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly finals: Finals,
+    private readonly finalStates: FinalStates,
   ) {
     // Not waited for until somebody plans: what follows from an end is wanted at once.
-    ctx.listeners.push((keys) => {
-      for (const k of keys)
-        if (k.startsWith('p/j/') && !ctx.view.jobs.has(k.slice(4) as JobId)) {
-          this.all();
-          return;
-        }
+    ctx.listeners.push(({ jobs }) => {
+      if ([...jobs].some((id) => !ctx.view.jobs.has(id))) this.all();
     });
   }
 
@@ -45,7 +41,7 @@
     const ledger = ctx.ledger();
     return {
       jobs: ctx.view.jobs,
-      final: (id: JobId) => this.finals.cached(id),
+      final: (id: JobId) => this.finalStates.cached(id),
       started: (j: JobRecord) => ledger.jobs.has(j.spec.id),
       runMs: (j: JobRecord) => {
         let fetchS = 0;
@@ -60,7 +56,7 @@
     const { jobChanges } = this.ctx.view;
     if (this.now === null || this.at !== jobChanges) {
       this.at = jobChanges;
-      this.now = dependencies(this.input);
+      this.now = judgeDependencies(this.input);
       this.incomplete = [...this.now.of.values()].some((d) => unreadOf(d).length > 0);
     }
     if (this.incomplete) this.readSoon();
@@ -75,7 +71,7 @@
       const open = d?.kind === 'blocked' || d?.kind === 'unknown' ? this.unread(job) : [];
       if (open.length === 0) return d;
       for (const id of open.slice(0, READS_AT_ONCE))
-        if ((await this.finals.read(id)) === undefined)
+        if ((await this.finalStates.read(id)) === undefined)
           throw new Unavailable(`${id} is neither open nor over`);
       this.now = null;
     }
@@ -85,7 +81,8 @@
     const { jobs } = this.ctx.view;
     const out = new Set<JobId>();
     for (const j of chainOf(job, jobs))
-      for (const id of needsOf(j)) if (!jobs.has(id) && this.finals.cached(id) === undefined) out.add(id);
+      for (const id of needsOf(j))
+        if (!jobs.has(id) && this.finalStates.cached(id) === undefined) out.add(id);
     return [...out];
   }
 
@@ -105,13 +102,14 @@
       for (const [id, d] of this.all().of) for (const need of unreadOf(d)) unread.set(need, id);
       if (unread.size === 0) return;
       const some = [...unread].slice(0, READS_AT_ONCE);
-      const read = await Promise.all(some.map(([need]) => this.finals.read(need).catch(() => undefined)));
+      const read = await Promise.all(
+        some.map(([need]) => this.finalStates.read(need).catch(() => undefined)),
+      );
       const changed = some.filter((_, i) => read[i] !== undefined);
       if (changed.length > 0) {
         this.now = null;
         // As if the records of those that wait had changed: their owners and the leader look again.
-        const keys = new Set(changed.map(([, job]) => key.job(job)));
-        for (const l of ctx.listeners) l(keys);
+        ctx.notify(jobChanges(new Set(changed.map(([, job]) => job))));
       }
       if (changed.length < some.length) await ctx.clock.sleep(AGAIN_MS);
     }
--- a/src/controller/finals.ts
+++ b/src/controller/final-states.ts
@@ -1,13 +1,13 @@
 // Final states of jobs: kept by the state service for ever, remembered here within bounds.
 import type { FinalRecord, JobId } from '../core/types.js';
-import { finalJobOf, key } from '../core/view.js';
-import { URGENT } from '../io/pacer.js';
-import type { StateClient } from '../io/state.js';
+import { key, parseKey } from '../core/keys.js';
+import { URGENCY } from '../io/rate-limiter.js';
+import type { StateClient } from '../io/state/client.js';
 import type { Op } from '../io/wire.js';
 
 const KEPT = 5000;
 
-export class Finals {
+export class FinalStates {
   private readonly known = new Map<JobId, FinalRecord>();
   /** How many final states were asked for. */
   reads = 0;
@@ -21,8 +21,9 @@
   /** Takes in final states that this process has just committed. */
   committed(ops: readonly Op[]): void {
     for (const op of ops) {
-      const id = finalJobOf(op.key);
-      if (id !== null && op.value !== undefined) this.remember(id, op.value as FinalRecord);
+      const parsed = parseKey(op.key);
+      if (parsed.kind === 'final' && op.value !== undefined)
+        this.remember(parsed.job, op.value as FinalRecord);
     }
   }
 
@@ -39,7 +40,7 @@
     const known = this.known.get(id);
     if (known !== undefined) return known;
     this.reads++;
-    const { value } = await this.state.get(key.final(id), URGENT.users);
+    const { value } = await this.state.get(key.final(id), URGENCY.users);
     if (value === undefined) return undefined;
     const final = value as FinalRecord;
     this.remember(id, final);
--- a/src/controller/health.ts
+++ b/src/controller/health.ts
@@ -2,7 +2,7 @@
 import type { ExitWhy, JobId, MachineName, MachineRecord, Placed, Report, Steady } from '../core/types.js';
 import { bytesOf } from '../core/records.js';
 import { Slowness } from '../core/slowness.js';
-import { taskKey } from '../core/takeover.js';
+import { taskKey } from '../core/worker-reports.js';
 import type { Context } from './context.js';
 
 interface JobTrouble {
@@ -37,10 +37,9 @@
   constructor(private readonly ctx: Context) {
     const { slow_factor, slow_runs } = ctx.operator.fleet;
     this.slowness = new Slowness({ factor: slow_factor, runs: slow_runs, samples: 12 });
-    ctx.listeners.push((keys) => {
-      for (const k of keys) {
-        const name = k.slice(4) as MachineName;
-        if (!k.startsWith('p/m/') || ctx.view.machines.has(name)) continue;
+    ctx.listeners.push(({ machines }) => {
+      for (const name of machines) {
+        if (ctx.view.machines.has(name)) continue;
         this.slowness.gone(name);
         this.runningAt.delete(name);
         this.machines.delete(name);
--- a/src/controller/jobs.ts
+++ b/src/controller/jobs.ts
@@ -1,17 +1,24 @@
 // Submitting, showing and cancelling jobs: what users are told, and only after it is committed.
 import { NONE_DONE, judge } from '../core/jobs.js';
 import { storedJob } from '../core/records.js';
-import { NO_VERSION, type FinalRecord, type JobId, type JobRecord, type JobSpec } from '../core/types.js';
-import { key } from '../core/view.js';
-import { Unavailable } from '../io/state.js';
-import { URGENT } from '../io/pacer.js';
+import {
+  NO_VERSION,
+  type FinalRecord,
+  type JobId,
+  type JobRecord,
+  type JobSpec,
+  type JobState,
+} from '../core/types.js';
+import { key } from '../core/keys.js';
+import { Unavailable } from '../io/state/client.js';
+import { URGENCY } from '../io/rate-limiter.js';
 import type { Peer } from '../io/peers.js';
-import type { Standing } from '../io/wire.js';
+import type { Op } from '../io/wire.js';
 import type { Context } from './context.js';
-import type { Owner } from './owner.js';
+import type { Owner } from './owner/owner.js';
 
 export interface Status {
-  readonly standing: Standing;
+  readonly state: JobState;
   readonly done: number;
   readonly running: number;
   /** What the job still waits for. */
@@ -19,13 +26,13 @@
 }
 
 export type Submitted =
-  | { readonly kind: 'accepted' | 'known'; readonly standing: Standing }
+  | { readonly kind: 'accepted' | 'known'; readonly state: JobState }
   | { readonly kind: 'impossible'; readonly why: string }
   /** Cannot be decided or committed now. */
   | { readonly kind: 'later' };
 
 export type Cancelled =
-  | { readonly kind: 'final'; readonly standing: Standing }
+  | { readonly kind: 'final'; readonly state: JobState }
   | { readonly kind: 'not_found' }
   | { readonly kind: 'later' };
 
@@ -40,19 +47,18 @@
     private readonly owner: Owner,
     private readonly peers: ReadonlyMap<string, Peer>,
   ) {
-    ctx.listeners.push((keys) => {
-      for (const id of [...this.waiting.keys()])
-        if (keys.has(key.job(id)) && !ctx.view.jobs.has(id)) for (const go of this.waiting.get(id)!) go();
+    ctx.listeners.push(({ jobs }) => {
+      for (const id of jobs) if (!ctx.view.jobs.has(id)) for (const go of this.waiting.get(id) ?? []) go();
     });
   }
 
   private statusOf(job: JobRecord): Status {
     const running = this.ctx.ledger().jobs.get(job.spec.id)?.tasks.size ?? 0;
-    return { standing: running > 0 ? 'running' : 'pending', done: job.done.count, running };
+    return { state: running > 0 ? 'running' : 'pending', done: job.done.count, running };
   }
 
   private finalStatus(f: FinalRecord): Status {
-    return { standing: f.state, done: f.done, running: 0 };
+    return { state: f.state, done: f.done, running: 0 };
   }
 
   async submit(spec: JobSpec): Promise<Submitted> {
@@ -61,9 +67,9 @@
     if (!ctx.follower.ready || view.types === null || !ctx.state.reachable(1500)) return { kind: 'later' };
     const verdict = judge(spec, ctx.teams, view.types);
     if (verdict !== 'ok') return this.knownOrImpossible(spec.id, verdict);
-    if (view.jobs.has(spec.id) || this.ctx.finals.cached(spec.id) !== undefined) {
+    if (view.jobs.has(spec.id) || this.ctx.finalStates.cached(spec.id) !== undefined) {
       const known = await this.find(spec.id);
-      if (known !== undefined) return { kind: 'known', standing: known.standing };
+      if (known !== undefined) return { kind: 'known', state: known.state };
     }
     const { needs: named = [], ...rest } = spec;
     const needs = await this.needsLeft(spec.id, named);
@@ -79,26 +85,26 @@
     if (stored === null) return this.knownOrImpossible(spec.id, 'too_large');
     // One that names a cancelled job is accepted, and is over at once.
     const over: FinalRecord = { state: 'cancelled', done: 0, at: record.submitted };
-    const ops =
+    const ops: Op[] =
       needs === 'cancelled'
-        ? [{ key: key.final(spec.id), value: over }]
-        : [{ key: key.job(spec.id), value: stored }];
+        ? [{ key: key.final(spec.id), value: over, reason: 'submission' }]
+        : [{ key: key.job(spec.id), value: stored, reason: 'submission' }];
     const guards = [
       { key: key.job(spec.id), version: NO_VERSION },
       { key: key.final(spec.id), version: NO_VERSION },
     ];
-    const r = await ctx.state.txn(guards, ops, URGENT.users);
+    const r = await ctx.state.txn(guards, ops, URGENCY.users);
     if (r.kind === 'ok') {
       ctx.follower.applied(ops, r.rev);
       ctx.log.info(
         { job: spec.id, team: spec.team, kind: spec.kind, tasks: spec.tasks, class: spec.class },
         'accepted',
       );
-      return { kind: 'accepted', standing: needs === 'cancelled' ? 'cancelled' : 'pending' };
+      return { kind: 'accepted', state: needs === 'cancelled' ? 'cancelled' : 'pending' };
     }
     if (r.kind === 'conflict') {
       const known = await this.find(spec.id);
-      if (known !== undefined) return { kind: 'known', standing: known.standing };
+      if (known !== undefined) return { kind: 'known', state: known.state };
     }
     // No answer: it may have been committed. The retry will find out.
     return { kind: 'later' };
@@ -107,7 +113,7 @@
   /** A job that was accepted stays accepted, whatever has changed since: limits, teams, machine types. */
   private async knownOrImpossible(id: JobId, why: string): Promise<Submitted> {
     const known = await this.find(id);
-    return known === undefined ? { kind: 'impossible', why } : { kind: 'known', standing: known.standing };
+    return known === undefined ? { kind: 'impossible', why } : { kind: 'known', state: known.state };
   }
 
   /**
@@ -122,16 +128,16 @@
     const left: JobId[] = [];
     let cancelled = false;
     if (named.includes(of)) return 'unknown_need';
-    if (named.some((id) => ctx.finals.cached(id) === undefined)) await ctx.follower.fresh();
+    if (named.some((id) => ctx.finalStates.cached(id) === undefined)) await ctx.follower.fresh();
     for (const id of named) {
       const job = ctx.view.jobs.get(id);
-      const final = job === undefined ? await ctx.finals.read(id) : undefined;
+      const final = job === undefined ? await ctx.finalStates.read(id) : undefined;
       if (job === undefined && final === undefined) return 'unknown_need';
       // A service runs until it is cancelled: what waits for its end could never run.
       if (job?.spec.kind === 'service') return 'unknown_need';
       if (job !== undefined) {
         left.push(id);
-        cancelled ||= (await ctx.needs.decide(job))?.kind === 'withdrawn';
+        cancelled ||= (await ctx.dependencies.decide(job))?.kind === 'withdrawn';
       } else cancelled ||= final?.state === 'cancelled';
     }
     return cancelled ? 'cancelled' : left;
@@ -143,20 +149,20 @@
    */
   async find(id: JobId): Promise<Status | undefined> {
     const { ctx } = this;
-    const cached = this.ctx.finals.cached(id);
+    const cached = this.ctx.finalStates.cached(id);
     if (cached !== undefined) return this.finalStatus(cached);
     // Without the state service nothing but final states can be told: said at once, not after a wait.
     if (!ctx.follower.ready || !ctx.state.reachable(1500)) throw new Unavailable('not ready');
     await ctx.follower.fresh();
     const job = ctx.view.jobs.get(id);
     if (job !== undefined) {
-      const d = await ctx.needs.decide(job);
+      const d = await ctx.dependencies.decide(job);
       // Its record may stand for a while yet, but it can never start: no user has to wait for the change to be written,
       // nor for an outage to end. A cancellation is for ever, so every controller comes to this answer from now on.
-      if (d?.kind === 'withdrawn') return { standing: 'cancelled', done: 0, running: 0 };
+      if (d?.kind === 'withdrawn') return { state: 'cancelled', done: 0, running: 0 };
       return { ...this.statusOf(job), ...(d?.kind === 'blocked' ? { needs: d.by } : {}) };
     }
-    const final = await this.ctx.finals.read(id);
+    const final = await this.ctx.finalStates.read(id);
     return final === undefined ? undefined : this.finalStatus(final);
   }
 
@@ -164,8 +170,8 @@
     const { ctx } = this;
     const status = await this.find(id);
     if (status === undefined) return { kind: 'not_found' };
-    if (status.standing === 'done' || status.standing === 'cancelled')
-      return { kind: 'final', standing: status.standing };
+    if (status.state === 'done' || status.state === 'cancelled')
+      return { kind: 'final', state: status.state };
     const job = ctx.view.jobs.get(id);
     if (job === undefined) return { kind: 'later' };
     if (ctx.ownsTeam(job.spec.team)) return this.cancelOwn(id);
@@ -175,9 +181,9 @@
     const peer = owner === undefined ? undefined : this.peers.get(owner);
     const taken = peer === undefined ? null : await peer.cancel(id, 800);
     // Where the owner cannot be reached directly, the request is left in the state service for it.
-    if (taken !== 'taken' && !ctx.view.cancels.has(id)) {
-      const op = { key: key.cancel(id), value: {} };
-      const r = await ctx.state.txn([ctx.guard(op.key)], [op], URGENT.users);
+    if (taken !== 'taken' && !ctx.view.cancellations.has(id)) {
+      const op: Op = { key: key.cancellation(id), value: {}, reason: 'cancellation' };
+      const r = await ctx.state.txn([ctx.guard(op.key)], [op], URGENCY.users);
       if (r.kind === 'ok') ctx.follower.applied([op], r.rev);
     }
     await wait;
@@ -189,20 +195,20 @@
   takeCancel(id: JobId): string {
     const job = this.ctx.view.jobs.get(id);
     if (job === undefined || !this.ctx.ownsTeam(job.spec.team)) return 'not_mine';
-    this.owner.askCancel(id);
+    this.owner.requestCancellation(id);
     return 'taken';
   }
 
   private async cancelOwn(id: JobId): Promise<Cancelled> {
-    this.owner.askCancel(id);
+    this.owner.requestCancellation(id);
     await this.over(id, CANCEL_WAIT_MS);
     return this.outcome(id);
   }
 
   private async outcome(id: JobId): Promise<Cancelled> {
     if (this.ctx.view.jobs.has(id)) return { kind: 'later' };
-    const final = await this.ctx.finals.read(id);
-    return final === undefined ? { kind: 'later' } : { kind: 'final', standing: final.state };
+    const final = await this.ctx.finalStates.read(id);
+    return final === undefined ? { kind: 'later' } : { kind: 'final', state: final.state };
   }
 
   /** Resolves when the job has left the view, or after the time. */
--- /dev/null
+++ b/src/controller/leader/cloud-inventory.ts
@@ -0,0 +1,132 @@
+/** Keeps the records in step with the cloud: machine types, machines that failed, are unknown, or are to be returned. */
+import { key } from '../../core/keys.js';
+import { partsWithin } from '../../core/records.js';
+import type { MachineName, MachineRecord, MachineType, NodeName } from '../../core/types.js';
+import type { CloudClient } from '../../io/cloud.js';
+import { URGENCY } from '../../io/rate-limiter.js';
+import type { ListedMachine, Op } from '../../io/wire.js';
+import type { Context } from '../context.js';
+import type { Membership } from '../membership.js';
+import type { LeaderTransactions } from './leader-transactions.js';
+import { newMachine } from './rentals.js';
+import type { UnknownMachines } from './unknown-machines.js';
+
+const LIST_EVERY_MS = 4000;
+/** Prices move: the types are read again with every so many lists. */
+const TYPES_EVERY = 8;
+/** The cloud returns at most so many machines by one request. */
+const MOST_RELEASED = 100;
+
+export class CloudInventory {
+  private releasing = false;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly membership: Membership,
+    private readonly cloud: CloudClient,
+    private readonly transactions: LeaderTransactions,
+    private readonly unknown: UnknownMachines,
+    /** Told when there are machines to adopt. */
+    private readonly found: () => void,
+  ) {}
+
+  /** Looks over the cloud's list for machines that no record knows, and for those that failed. */
+  async run(): Promise<never> {
+    const { ctx } = this;
+    for (let round = 0; ; round++) {
+      await ctx.clock.sleep(LIST_EVERY_MS);
+      if (!this.membership.isLeader || !ctx.follower.ready) continue;
+      try {
+        if (round % TYPES_EVERY === 0) await this.refreshTypes();
+        const list = await this.cloud.list();
+        if (list !== null) await this.compare(list);
+      } catch (e) {
+        ctx.log.error({ err: e }, 'list loop');
+      }
+    }
+  }
+
+  async refreshTypes(): Promise<void> {
+    const { ctx } = this;
+    const types = await this.cloud.types();
+    if (types === null) return;
+    if (JSON.stringify(ctx.view.types) === JSON.stringify(types)) return;
+    const parts = partsWithin(types, ctx.state.settings.valueBytes);
+    const names = (list: readonly MachineType[] | null) => JSON.stringify(list?.map((t) => t.name));
+    // A longer list that stands in one value, from before the limit fell, is left: only its prices are a little old, and
+    // a process of the version before would miss what it can't find there.
+    if (parts.length > 1 && names(ctx.view.types) === names(types)) return;
+    const ops: Op[] = parts.map((value, i) => ({ key: i === 0 ? key.types : key.moreTypes(i), value }));
+    for (let i = parts.length; ctx.view.entries.has(key.moreTypes(i)); i++)
+      ops.push({ key: key.moreTypes(i), value: undefined });
+    // A list longer than a transaction takes is written in several: its parts are read one by one in any case.
+    await this.transactions.commitEach(ops, URGENCY.starts);
+  }
+
+  private async compare(list: readonly ListedMachine[]): Promise<void> {
+    const { ctx } = this;
+    const failed: Op[] = [];
+    const withoutRecord = new Set<MachineName>();
+    for (const l of list) {
+      const machine = ctx.view.machines.get(l.name);
+      if (machine === undefined) {
+        withoutRecord.add(l.name);
+        this.unknown.noteListed(l);
+      } else if (l.state === 'failed' && machine.phase !== 'releasing') {
+        ctx.log.info({ machine: l.name }, 'failed');
+        const value: MachineRecord = { ...machine, phase: 'releasing' };
+        failed.push({ key: key.machine(l.name), value, reason: 'return' });
+      }
+    }
+    this.unknown.keepListed(withoutRecord);
+    if (failed.length > 0) await this.transactions.commitEach(failed, URGENCY.starts);
+    if (this.unknown.size > 0) this.found();
+  }
+
+  /** Gives unknown machines records, in the slices that have fewest. */
+  async adopt(slices: readonly NodeName[]): Promise<void> {
+    const { ctx } = this;
+    if (this.unknown.size === 0) return;
+    const count = new Map<NodeName, number>();
+    for (const m of ctx.view.machines.values()) count.set(m.owner, (count.get(m.owner) ?? 0) + 1);
+    const ops: Op[] = [];
+    for (const [name, known] of this.unknown.take()) {
+      if (ctx.view.machines.has(name)) continue;
+      const owner = [...slices].sort((a, b) => (count.get(a) ?? 0) - (count.get(b) ?? 0))[0]!;
+      count.set(owner, (count.get(owner) ?? 0) + 1);
+      const value = newMachine(ctx, name, known, owner);
+      ctx.log.info({ machine: name, to: owner, floor: value.floor }, 'machine adopted');
+      ops.push({ key: key.machine(name), value, reason: 'machine_state' });
+    }
+    await this.transactions.commitEach(ops, URGENCY.starts);
+  }
+
+  /** Returns the machines that are marked for it, unless that is under way. */
+  startReleases(): void {
+    const { ctx } = this;
+    if (this.releasing) return;
+    const names = [...ctx.view.machines.values()].filter((m) => m.phase === 'releasing').map((m) => m.name);
+    if (names.length === 0) return;
+    this.releasing = true;
+    void this.release(names.slice(0, MOST_RELEASED))
+      .catch((e: unknown) => {
+        ctx.log.error({ err: e }, 'release');
+      })
+      .finally(() => {
+        this.releasing = false;
+      });
+  }
+
+  private async release(names: readonly MachineName[]): Promise<void> {
+    const { ctx } = this;
+    if (!(await this.cloud.release(names))) return;
+    this.unknown.noteReleased(names);
+    // The cloud has said that they and everything on them are gone: their tasks are free.
+    const there = names.filter((n) => ctx.view.machines.has(n));
+    ctx.log.info({ machines: there }, 'machines released');
+    await this.transactions.commitEach(
+      there.map((n) => ({ key: key.machine(n), value: undefined, reason: 'return' })),
+      URGENCY.results,
+    );
+  }
+}
--- /dev/null
+++ b/src/controller/leader/leader-transactions.ts
@@ -0,0 +1,53 @@
+/** Commits that only the present leader can make: each transaction is guarded on the leadership. */
+import { key, parseKey } from '../../core/keys.js';
+import type { Urgency } from '../../io/rate-limiter.js';
+import { pack, type Group } from '../../io/state/transactions.js';
+import type { Guard, Op } from '../../io/wire.js';
+import type { Context } from '../context.js';
+import type { Membership } from '../membership.js';
+
+export class LeaderTransactions {
+  constructor(
+    private readonly ctx: Context,
+    private readonly membership: Membership,
+  ) {}
+
+  /** Commits one transaction as it is. */
+  async commit({ ops, guards }: Group, urgency: Urgency): Promise<boolean> {
+    if (!this.membership.isLeader) return false;
+    const outcome = await this.ctx.commit([this.ctx.guard(key.leader), ...guards], ops, urgency);
+    return outcome === 'ok';
+  }
+
+  /** Commits groups in order, as many to a transaction as fit, and stops at the first that fails. */
+  async commitInOrder(groups: readonly Group[], urgency: Urgency): Promise<boolean> {
+    for (const txn of this.packed(groups)) if (!(await this.commit(txn, urgency))) return false;
+    return true;
+  }
+
+  /** Single-key changes, as many to a transaction as fit; one that fails does not hold up the others. */
+  async commitEach(ops: readonly Op[], urgency: Urgency): Promise<boolean> {
+    // Taken before the first wait: a value goes with the versions that it was made from. Were the guards of a later
+    // transaction read when its turn comes, it would overwrite what was committed in between, such as a start.
+    const groups = ops.map((o) => ({ ops: [o], guards: this.guardsOf(o) }));
+    let ok = true;
+    for (const txn of this.packed(groups)) ok = (await this.commit(txn, urgency)) && ok;
+    return ok;
+  }
+
+  private packed(groups: readonly Group[]): Generator<Group> {
+    const { ctx } = this;
+    return pack(groups, [ctx.guard(key.leader)], ctx.state.settings, ctx.view);
+  }
+
+  /**
+   * The key written, and for a machine the slice it is in: the floor that a move gives it is above its token
+   * only as long as that slice has not got another holder.
+   */
+  private guardsOf(op: Op): Guard[] {
+    const { ctx } = this;
+    const before = ctx.view.entries.get(op.key)?.value as { owner?: string } | undefined;
+    const slice = parseKey(op.key).kind === 'machine' ? before?.owner : undefined;
+    return [ctx.guard(op.key), ...(slice === undefined ? [] : [ctx.guard(key.slice(slice))])];
+  }
+}
--- /dev/null
+++ b/src/controller/leader/rentals.ts
@@ -0,0 +1,151 @@
+/** Rents machines: each request is committed before the cloud is asked, so that nothing is ever rented twice. */
+import { key } from '../../core/keys.js';
+import type { RentalNeed } from '../../core/fleet.js';
+import { bytesOf } from '../../core/records.js';
+import {
+  NO_VERSION,
+  type MachineName,
+  type MachineRecord,
+  type NodeName,
+  type RentalRecord,
+  type Steady,
+  type TypeName,
+  type Zone,
+} from '../../core/types.js';
+import type { CloudClient } from '../../io/cloud.js';
+import { URGENCY } from '../../io/rate-limiter.js';
+import type { Group } from '../../io/state/transactions.js';
+import type { Context } from '../context.js';
+import type { LeaderTransactions } from './leader-transactions.js';
+import type { UnknownMachine } from './unknown-machines.js';
+
+/** The cloud rents at most so many machines by one request. */
+const MOST_RENTED = 50;
+/** What a rental's record takes beside the names of the slices. */
+const RENTAL_BYTES = 500;
+
+/** One type, zone and kind of machine. */
+const kindOf = (r: { type: TypeName; zone: Zone; spot: boolean }) => `${r.type} ${r.zone} ${r.spot}`;
+
+/** The first record of a machine. */
+export const newMachine = (
+  ctx: Context,
+  name: MachineName,
+  known: UnknownMachine,
+  owner: NodeName,
+): MachineRecord => ({
+  name,
+  type: known.type,
+  zone: known.zone,
+  spot: known.spot,
+  owner,
+  floor: known.token + 1,
+  phase: 'booting',
+  placed: [],
+  since: ctx.clock.wall(),
+});
+
+export class Rentals {
+  private readonly refusedUntil = new Map<string, Steady>();
+  private number = 0;
+  private busy = false;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly cloud: CloudClient,
+    private readonly transactions: LeaderTransactions,
+  ) {}
+
+  /** False while the cloud refuses this type, zone and kind. */
+  isAvailable(type: TypeName, zone: Zone, spot: boolean): boolean {
+    return (this.refusedUntil.get(kindOf({ type, zone, spot })) ?? 0) < this.ctx.clock.now();
+  }
+
+  /** Begins to rent unless that is under way. */
+  start(needs: readonly RentalNeed[], slices: readonly NodeName[]): void {
+    if (this.busy) return;
+    if (needs.length === 0 && this.ctx.view.rentals.size === 0) return;
+    this.busy = true;
+    void this.rent(needs, slices)
+      .catch((e: unknown) => {
+        this.ctx.log.error({ err: e }, 'rent');
+      })
+      .finally(() => {
+        this.busy = false;
+      });
+  }
+
+  private async rent(needs: readonly RentalNeed[], slices: readonly NodeName[]): Promise<void> {
+    const { ctx } = this;
+    // Rentals that an earlier round, or an earlier leader, decided and did not bring to an end: their names
+    // give the same answer again, so nothing is rented twice.
+    for (const r of [...ctx.view.rentals.values()]) await this.carryOut(r, slices);
+    for (const list of byKind(needs).values()) {
+      const { type, zone, spot } = list[0]!;
+      if (!this.isAvailable(type, zone, spot)) continue;
+      const rental: RentalRecord = {
+        name: `${ctx.incarnation}-${++this.number}`,
+        type,
+        zone,
+        spot,
+        owners: list.slice(0, this.mostAtOnce(slices)).map((need) => need.owner),
+      };
+      const k = key.rental(rental.name);
+      const group = {
+        ops: [{ key: k, value: rental, reason: 'rental' as const }],
+        guards: [{ key: k, version: NO_VERSION }],
+      };
+      if (!(await this.transactions.commit(group, URGENCY.starts))) return;
+      await this.carryOut(rental, slices);
+    }
+  }
+
+  /** The rental's record names a slice for each machine, and has to fit the limit for a value. */
+  private mostAtOnce(slices: readonly NodeName[]): number {
+    const longest = Math.max(...slices.map((s) => bytesOf(s))) + 1;
+    return Math.min(MOST_RENTED, Math.floor((this.ctx.state.settings.valueBytes - RENTAL_BYTES) / longest));
+  }
+
+  private async carryOut(rental: RentalRecord, slices: readonly NodeName[]): Promise<void> {
+    const { ctx } = this;
+    const answer = await this.cloud.rent(rental);
+    if (answer.kind === 'unknown') return;
+    const got = answer.kind === 'rented' ? answer.machines : [];
+    const { name, type, zone, spot, owners } = rental;
+    ctx.log.info({ rental: name, type, zone, spot, asked: owners.length, got }, 'rented');
+    if (got.length < owners.length)
+      this.refusedUntil.set(
+        kindOf(rental),
+        (ctx.clock.now() + ctx.operator.fleet.refused_s * 1000) as Steady,
+      );
+    await this.transactions.commitInOrder(this.recordsOf(rental, got, slices), URGENCY.starts);
+  }
+
+  private recordsOf(rental: RentalRecord, got: readonly MachineName[], slices: readonly NodeName[]): Group[] {
+    const { ctx } = this;
+    const guard = ctx.guard(key.rental(rental.name));
+    const groups: Group[] = [];
+    got.forEach((name, i) => {
+      if (ctx.view.machines.has(name)) return;
+      const owner = rental.owners.find((o, at) => at >= i && slices.includes(o)) ?? slices[0]!;
+      const value = newMachine(ctx, name, { ...rental, token: 0 }, owner);
+      groups.push({
+        ops: [{ key: key.machine(name), value, reason: 'rental' }],
+        guards: [guard, { key: key.machine(name), version: NO_VERSION }],
+      });
+    });
+    // The rental stays on record until all its machines are: whoever goes on with it gets the same answer.
+    groups.push({ ops: [{ key: guard.key, value: undefined, reason: 'rental' }], guards: [guard] });
+    return groups;
+  }
+}
+
+function byKind(needs: readonly RentalNeed[]): Map<string, RentalNeed[]> {
+  const kinds = new Map<string, RentalNeed[]>();
+  for (const need of needs) {
+    const list = kinds.get(kindOf(need));
+    if (list === undefined) kinds.set(kindOf(need), [need]);
+    else list.push(need);
+  }
+  return kinds;
+}
--- /dev/null
+++ b/src/controller/leader/unknown-machines.ts
@@ -0,0 +1,93 @@
+/**
+ * Machines that no record knows: workers that report, and machines that the cloud lists. One report may be a late copy
+ * from a machine that was returned long ago, and the list lags, so that either is believed only after a while.
+ */
+import { newer } from '../../core/worker-reports.js';
+import type { MachineName, Report, Steady, TypeName, Zone } from '../../core/types.js';
+import type { ListedMachine } from '../../io/wire.js';
+import type { Context } from '../context.js';
+
+/** What is known of a machine without a record. */
+export interface UnknownMachine {
+  readonly type: TypeName;
+  readonly zone: Zone;
+  readonly spot: boolean;
+  /** The highest token that it has seen. */
+  readonly token: number;
+}
+
+/** A worker that is there reports again after so long, and before so long. */
+const REPORTS_AGAIN_MS = 700;
+const REPORTS_WITHIN_MS = 30_000;
+const MOST_REPORTERS = 2000;
+/** A machine that was returned may be listed, and late copies of its reports may come, for so long. */
+const RELEASED_MEMORY_MS = 120_000;
+/** The list lags by up to twice its usual lag; and so long the record of a rental may take. */
+const LAG_TIMES = 2;
+const RECORD_S = 3;
+
+export class UnknownMachines {
+  private readonly confirmed = new Map<MachineName, UnknownMachine>();
+  /** Workers without a record, as they first reported. */
+  private readonly reporters = new Map<MachineName, { session: number; seq: number; at: Steady }>();
+  /** Since when the list shows a machine without a record. */
+  private readonly listedSince = new Map<MachineName, Steady>();
+  private readonly released = new Map<MachineName, Steady>();
+
+  constructor(private readonly ctx: Context) {}
+
+  get size(): number {
+    return this.confirmed.size;
+  }
+
+  /** Takes all that are surely there. */
+  take(): ReadonlyMap<MachineName, UnknownMachine> {
+    const taken = new Map(this.confirmed);
+    this.confirmed.clear();
+    return taken;
+  }
+
+  clear(): void {
+    this.confirmed.clear();
+  }
+
+  /** The cloud has returned these machines. */
+  noteReleased(names: readonly MachineName[]): void {
+    const now = this.ctx.clock.now();
+    for (const [name, at] of this.released) if (now - at > RELEASED_MEMORY_MS) this.released.delete(name);
+    for (const name of names) this.released.set(name, now);
+  }
+
+  /** A worker without a record has reported. True once it has done so again, later and newer: then it is there. */
+  noteReport(r: Report): boolean {
+    if (this.released.has(r.machine)) return false;
+    const now = this.ctx.clock.now();
+    const before = this.reporters.get(r.machine);
+    if (before !== undefined && !newer(r, before)) return false;
+    if (before === undefined || now - before.at > REPORTS_WITHIN_MS) {
+      if (this.reporters.size >= MOST_REPORTERS) this.reporters.clear();
+      this.reporters.set(r.machine, { session: r.session, seq: r.seq, at: now });
+      return false;
+    }
+    if (now - before.at < REPORTS_AGAIN_MS) return false;
+    this.reporters.delete(r.machine);
+    this.confirmed.set(r.machine, { type: r.type, zone: r.zone, spot: r.spot, token: r.token });
+    return true;
+  }
+
+  /** The cloud lists a machine that has no record. */
+  noteListed(l: ListedMachine): void {
+    if (this.released.has(l.name)) return;
+    const now = this.ctx.clock.now();
+    const since = this.listedSince.get(l.name);
+    const lagS = LAG_TIMES * this.ctx.settings.cloudLimits.list_lag_s + RECORD_S;
+    if (since === undefined) this.listedSince.set(l.name, now);
+    else if (now - since > lagS * 1000)
+      this.confirmed.set(l.name, { type: l.type, zone: l.zone, spot: l.spot, token: 0 });
+  }
+
+  /** Only these are listed without a record now. */
+  keepListed(names: ReadonlySet<MachineName>): void {
+    for (const name of this.listedSince.keys()) if (!names.has(name)) this.listedSince.delete(name);
+  }
+}
--- a/src/controller/membership.ts
+++ b/src/controller/membership.ts
@@ -1,9 +1,11 @@
 // This process's session and, if it gets it, the leadership; both hang on one lease of the state service.
 import type { SessionRecord, LeaderRecord, SliceRecord } from '../core/types.js';
-import { key } from '../core/view.js';
-import { Unavailable } from '../io/state.js';
-import { URGENT } from '../io/pacer.js';
-import { Bell, type Context } from './context.js';
+import { key } from '../core/keys.js';
+import type { Op } from '../io/wire.js';
+import { Unavailable } from '../io/state/client.js';
+import { URGENCY } from '../io/rate-limiter.js';
+import type { Context } from './context.js';
+import { Notification } from './notification.js';
 
 /** The steady clocks drift apart by at most 0.05%; twice that is allowed for. */
 const DRIFT = 0.999;
@@ -12,12 +14,12 @@
   private lease: number | null = null;
   /** Until then the lease has surely not run out: counted from when the renewal was sent. */
   private validUntil = Number.NEGATIVE_INFINITY;
-  private readonly bell: Bell;
+  private readonly notification: Notification;
 
   constructor(private readonly ctx: Context) {
-    this.bell = new Bell(ctx.clock);
-    ctx.listeners.push((keys) => {
-      if (keys.has(key.leader) || keys.has(key.session(ctx.settings.node))) this.bell.ring();
+    this.notification = new Notification(ctx.clock);
+    ctx.listeners.push(({ leader, sessions }) => {
+      if (leader || sessions.has(ctx.settings.node)) this.notification.notify();
       for (const node of ctx.view.sessions.keys())
         if (!ctx.sessionSince.has(node)) ctx.sessionSince.set(node, this.ctx.clock.now());
       for (const node of [...ctx.sessionSince.keys()])
@@ -52,7 +54,7 @@
         if (!(e instanceof Unavailable)) throw e;
         await this.ctx.clock.sleep(150);
       }
-      await this.bell.wait(this.ctx.follower.ready ? operator.sessions.renew_every_s * 1000 : 30);
+      await this.notification.wait(this.ctx.follower.ready ? operator.sessions.renew_every_s * 1000 : 30);
     }
   }
 
@@ -105,8 +107,8 @@
       return;
     const k = key.slice(ctx.settings.node);
     const value: SliceRecord = { holder: ctx.settings.node, incarnation: ctx.incarnation };
-    const op = { key: k, value };
-    const r = await ctx.state.txn([ctx.guard(k)], [op], URGENT.session);
+    const op: Op = { key: k, value, reason: 'membership' };
+    const r = await ctx.state.txn([ctx.guard(k)], [op], URGENCY.session);
     if (r.kind === 'ok') {
       ctx.follower.applied([op], r.rev);
       ctx.log.info({ slice: ctx.settings.node, token: r.rev }, 'slice taken');
@@ -115,8 +117,8 @@
 
   private async put(k: string, value: { lease: number }): Promise<boolean> {
     const { ctx } = this;
-    const op = { key: k, value, lease: value.lease };
-    const r = await ctx.state.txn([ctx.guard(k)], [op], URGENT.session);
+    const op: Op = { key: k, value, lease: value.lease, reason: 'membership' };
+    const r = await ctx.state.txn([ctx.guard(k)], [op], URGENCY.session);
     if (r.kind === 'ok') {
       ctx.follower.applied([op], r.rev);
       return true;
--- /dev/null
+++ b/src/controller/owner/job-reconciler.ts
@@ -0,0 +1,128 @@
+/** Works out which changes the records of jobs need: ends, cancellations and the withdrawal of dependent jobs. */
+import { key } from '../../core/keys.js';
+import { NO_VERSION, type DoneSet, type FinalRecord, type JobId, type JobRecord } from '../../core/types.js';
+import type { Group } from '../../io/state/transactions.js';
+import type { Guard, Op } from '../../io/wire.js';
+import type { Context } from '../context.js';
+import type { FoundResults } from './results.js';
+
+/** So many jobs are withdrawn in one pass after one that they need: the rest of the work must not wait for hundreds. */
+const MOST_WITHDRAWN = 16;
+
+export class JobReconciler {
+  /** Jobs whose users have asked this controller to cancel them. */
+  private readonly requested = new Set<JobId>();
+
+  constructor(private readonly ctx: Context) {}
+
+  requestCancellation(id: JobId): void {
+    this.requested.add(id);
+  }
+
+  /** The change that ends a job all of whose tasks are done. */
+  end(job: JobRecord, done: DoneSet): Group {
+    return this.finish(job, { state: 'done', done: done.count });
+  }
+
+  /** Jobs with results in this pass are left for the next one: they may be done. */
+  reconcile(found: FoundResults): Group[] {
+    return [
+      ...this.takeRequestsLeft(found),
+      ...this.takeRequests(found),
+      ...this.withdrawDependents(),
+      ...this.endCancelled(found),
+    ];
+  }
+
+  /** Requests that other controllers have left in the state service. */
+  private takeRequestsLeft(found: FoundResults): Group[] {
+    const { ctx } = this;
+    const { view } = ctx;
+    const groups: Group[] = [];
+    for (const id of view.cancellations) {
+      const job = view.jobs.get(id);
+      if (job !== undefined) {
+        if (ctx.ownsTeam(job.spec.team) && job.phase === 'active' && !found.has(id))
+          groups.push(this.beginCancellation(job));
+      } else if (view.leader?.incarnation === ctx.incarnation) {
+        const k = key.cancellation(id);
+        groups.push({ ops: [{ key: k, value: undefined, reason: 'cancellation' }], guards: [ctx.guard(k)] });
+      }
+    }
+    return groups;
+  }
+
+  private takeRequests(found: FoundResults): Group[] {
+    const { ctx } = this;
+    const groups: Group[] = [];
+    for (const id of this.requested) {
+      if (found.has(id)) continue;
+      const job = ctx.view.jobs.get(id);
+      const mine = job?.phase === 'active' && ctx.ownsTeam(job.spec.team);
+      if (mine && !ctx.view.cancellations.has(id)) groups.push(this.beginCancellation(job));
+      else this.requested.delete(id);
+    }
+    return groups;
+  }
+
+  private withdrawDependents(): Group[] {
+    const { ctx } = this;
+    const ledger = ctx.ledger();
+    const groups: Group[] = [];
+    for (const [id, dependency] of ctx.dependencies.all().of) {
+      if (groups.length >= MOST_WITHDRAWN) break;
+      if (dependency.kind !== 'withdrawn') continue;
+      const job = ctx.view.jobs.get(id);
+      // It never started, so that there is nothing but its record. Its users are told already (`Jobs.find`).
+      if (job === undefined || !ctx.ownsTeam(job.spec.team) || ledger.jobs.has(id)) continue;
+      groups.push(this.finish(job, { state: 'cancelled', done: 0 }));
+    }
+    return groups;
+  }
+
+  private endCancelled(found: FoundResults): Group[] {
+    const { ctx } = this;
+    const ledger = ctx.ledger();
+    const dependencies = ctx.dependencies.all().of;
+    const groups: Group[] = [];
+    for (const job of ctx.view.jobs.values()) {
+      const { id, team } = job.spec;
+      if (job.phase !== 'cancelling' || found.has(id) || !ctx.ownsTeam(team)) continue;
+      if (dependencies.get(id)?.kind === 'withdrawn') continue;
+      // Said only once nothing of the job is on any machine: then there is nothing left that could run on.
+      if (ledger.jobs.has(id)) continue;
+      groups.push(this.finish(job, { state: 'cancelled', done: job.done.count }));
+    }
+    return groups;
+  }
+
+  private beginCancellation(job: JobRecord): Group {
+    const { ctx } = this;
+    const { id, team } = job.spec;
+    ctx.log.info({ job: id }, 'cancelling');
+    return {
+      ops: [
+        { key: key.job(id), value: ctx.storedJob({ ...job, phase: 'cancelling' }), reason: 'cancellation' },
+      ],
+      guards: [ctx.guard(key.job(id)), ...ctx.teamGuards(team)],
+    };
+  }
+
+  private finish(job: JobRecord, final: FinalRecord): Group {
+    const { ctx } = this;
+    const { id, team } = job.spec;
+    ctx.log.info({ job: id, state: final.state, done: final.done }, 'job is over');
+    const ops: Op[] = [
+      { key: key.job(id), value: undefined, reason: 'end' },
+      { key: key.final(id), value: { ...final, at: ctx.clock.wall() } satisfies FinalRecord, reason: 'end' },
+    ];
+    const guards: Guard[] = [ctx.guard(key.job(id)), { key: key.final(id), version: NO_VERSION }];
+    if (final.state === 'cancelled') guards.push(...ctx.teamGuards(team));
+    // Where a transaction takes fewer changes, the leader removes what is left of the request.
+    if (ctx.view.cancellations.has(id) && ops.length < ctx.state.settings.txnOps) {
+      ops.push({ key: key.cancellation(id), value: undefined, reason: 'cancellation' });
+      guards.push(ctx.guard(key.cancellation(id)));
+    }
+    return { ops, guards };
+  }
+}
--- /dev/null
+++ b/src/controller/owner/machine-reconciler.ts
@@ -0,0 +1,154 @@
+/**
+ * Works out which changes a machine's record needs: tasks proved to be gone, machines that came up, drain or are out of
+ * reach, tasks that leave on a spot notice.
+ */
+import { key } from '../../core/keys.js';
+import {
+  exits,
+  taskKey,
+  without,
+  type Exit,
+  type MachineMemory,
+  type Wanted,
+} from '../../core/worker-reports.js';
+import type { MachineName, MachineRecord, Placed } from '../../core/types.js';
+import type { Group } from '../../io/state/transactions.js';
+import type { Context } from '../context.js';
+import type { Health } from '../health.js';
+import type { MachineSessions } from './machine-sessions.js';
+import type { FoundResults, Results } from './results.js';
+import { EMPTY_STAY_MS, MOST_STAY_MS, SPARE_STAY_MS, SWEEP_MS } from './timing.js';
+import { isUnreachable } from './unreachable.js';
+
+/** A change to a machine's record; what only tidies up can wait for starts. */
+export interface MachineChange {
+  readonly group: Group;
+  readonly urgent: boolean;
+}
+
+export class MachineReconciler {
+  constructor(
+    private readonly ctx: Context,
+    private readonly sessions: MachineSessions,
+    private readonly health: Health,
+    private readonly results: Results,
+    /** Told when a task has left its machine, so that its room is used again. */
+    private readonly taskLeft: () => void,
+  ) {}
+
+  /** The change that the machine's record needs now, if any; results of its tasks are added to `found`. */
+  reconcile(name: MachineName, wanted: Wanted, found: FoundResults): MachineChange | null {
+    const { ctx } = this;
+    const machine = ctx.view.machines.get(name);
+    if (machine === undefined || !ctx.isMine(machine)) {
+      this.sessions.forget(name);
+      this.results.forget(name);
+      return null;
+    }
+    const memory = this.sessions.of(machine);
+    const left = exits(machine, memory, wanted);
+    this.results.remember(machine, memory.token, left);
+    for (const exit of left) {
+      this.results.collect(exit, found);
+      this.noteExit(machine, memory, exit);
+    }
+    return this.change(machine, memory, left);
+  }
+
+  private noteExit(machine: MachineRecord, memory: MachineMemory, { placed, index, why }: Exit): void {
+    const { ctx } = this;
+    const k = taskKey(placed.job, index, placed.attempt);
+    if (memory.left.has(k)) return;
+    memory.left.set(k, { at: ctx.clock.now(), why });
+    this.taskLeft();
+    this.health.exit(machine, placed, why);
+    ctx.log.info(
+      {
+        task: ctx.task(placed.job, index),
+        attempt: placed.attempt,
+        machine: machine.name,
+        token: memory.token,
+        why: why ?? 'absent',
+      },
+      'task left its machine',
+    );
+  }
+
+  private change(machine: MachineRecord, memory: MachineMemory, left: readonly Exit[]): MachineChange | null {
+    const { ctx } = this;
+    const noticed = memory.report?.noticeS != null;
+    const drain = machine.drain === true || noticed || this.health.sick(machine);
+    const unreachable = isUnreachable(ctx, this.sessions, machine, memory);
+    const cameUp = machine.phase === 'booting' && memory.report !== null;
+    const gone = left.filter((e) => !this.results.mayStay(e) || this.results.isDurable(e));
+    const kept = without(machine.placed, gone);
+    const placed = noticed ? this.stopOnNotice(kept) : kept;
+    const urgent =
+      unreachable ||
+      gone.some((e) => !this.results.mayStay(e) || drain) ||
+      placed.some((p, i) => p !== kept[i]) ||
+      drain !== (machine.drain === true);
+    if (!urgent && !this.isTidyingDue(machine, memory, gone, kept, cameUp)) return null;
+    if (unreachable) this.logUnreachable(machine, memory);
+    const value: MachineRecord = {
+      ...machine,
+      phase: unreachable ? 'releasing' : cameUp ? 'up' : machine.phase,
+      placed,
+      ...this.learned(machine, memory),
+      ...(drain ? { drain } : {}),
+    };
+    const group: Group = {
+      ops: [{ key: key.machine(machine.name), value, reason: urgent ? 'machine_state' : 'tidying' }],
+      // The slice is guarded too: whoever has lost it must not write its machines any more.
+      guards: [ctx.guard(key.machine(machine.name)), ctx.guard(key.slice(machine.owner))],
+    };
+    return { group, urgent };
+  }
+
+  /** What need not be written by itself goes along with the machine's next start, or is written a little later. */
+  private isTidyingDue(
+    machine: MachineRecord,
+    memory: MachineMemory,
+    gone: readonly Exit[],
+    kept: readonly Placed[],
+    cameUp: boolean,
+  ): boolean {
+    const { clock, state } = this.ctx;
+    const now = clock.now();
+    const { spare } = state;
+    const stayMs = spare ? SPARE_STAY_MS : kept.length === 0 ? EMPTY_STAY_MS : MOST_STAY_MS;
+    const leftAt = (e: Exit) => memory.left.get(taskKey(e.placed.job, e.index, e.placed.attempt))!.at;
+    if (gone.some((e) => now - leftAt(e) > stayMs)) return true;
+    const hears = memory.report?.token === memory.token;
+    const showsToken = hears && machine.placed.length === 0 && (machine.heard ?? 0) < memory.token;
+    return (showsToken || cameUp) && now - memory.firstAt! > (spare ? SWEEP_MS : EMPTY_STAY_MS);
+  }
+
+  /** What can save, or is wanted all the time, goes elsewhere before the cloud takes the machine. */
+  private stopOnNotice(placed: readonly Placed[]): Placed[] {
+    return placed.map((p) => (p.stop === true || !this.leavesOnNotice(p) ? p : { ...p, stop: true }));
+  }
+
+  private leavesOnNotice(placed: Placed): boolean {
+    const job = this.ctx.view.jobs.get(placed.job);
+    return job !== undefined && (job.spec.kind === 'service' || job.spec.checkpointS > 0);
+  }
+
+  /** What its reports taught of the machine; written along with whatever is written of it. */
+  learned(machine: MachineRecord, memory: MachineMemory): Partial<MachineRecord> {
+    const address = memory.report?.address ?? machine.address;
+    const images = this.health.imagesOf(machine);
+    return {
+      ...(address === undefined ? {} : { address }),
+      ...(images.length === 0 ? {} : { images }),
+      ...(memory.report?.token === memory.token ? { heard: memory.token } : {}),
+    };
+  }
+
+  private logUnreachable(machine: MachineRecord, memory: MachineMemory): void {
+    this.ctx.log.info(
+      { machine: machine.name, token: memory.token, heardMs: this.ctx.clock.now() - memory.heardAt },
+      'machine unreachable: given up',
+    );
+  }
+}
--- /dev/null
+++ b/src/controller/owner/owner.ts
@@ -0,0 +1,196 @@
+/**
+ * The loop of a controller over its own machines and teams: it turns what reports prove into changes and places waiting
+ * tasks. All changes to machine records leave through this one loop, one transaction at a time.
+ */
+import type { Changes } from '../../core/changes.js';
+import type { WaitReason } from '../../core/placement.js';
+import type { JobId, MachineName, MachineRecord, Report } from '../../core/types.js';
+import { URGENCY } from '../../io/rate-limiter.js';
+import { commitAll, type Group } from '../../io/state/transactions.js';
+import type { Workers } from '../../io/workers.js';
+import type { Context } from '../context.js';
+import type { Health } from '../health.js';
+import { Notification } from '../notification.js';
+import { JobReconciler } from './job-reconciler.js';
+import { MachineReconciler } from './machine-reconciler.js';
+import { MachineSessions, type ReportAnswer } from './machine-sessions.js';
+import { Results, type FoundResults } from './results.js';
+import { Starts } from './starts.js';
+import { SWEEP_MS } from './timing.js';
+
+export type { ReportAnswer } from './machine-sessions.js';
+
+/** The loop looks at its work so often without being notified. */
+const IDLE_MS = 200;
+/** Pauses after a pass, after one that was not committed as a whole, and after an error. */
+const PAUSE_MS = 20;
+const RETRY_MS = 100;
+const ERROR_MS = 300;
+/** How long one pass may spend on what only tidies up. */
+const TIDY_MS = 1000;
+/** A plan may take its time, but never so much that reports and renewals wait for one after the other. */
+const PLAN_PART = 3;
+
+export class Owner {
+  private readonly notification: Notification;
+  private readonly sessions: MachineSessions;
+  private readonly results: Results;
+  private readonly machines: MachineReconciler;
+  private readonly jobs: JobReconciler;
+  private readonly starts: Starts;
+  /** Machines of which something was heard or written since they were last looked at. */
+  private readonly dirty = new Set<MachineName>();
+  /** When all machines are looked at again. */
+  private sweepAt = Number.NEGATIVE_INFINITY;
+  /** Something that placing depends on has changed. */
+  private placeDue = true;
+  private placeNotBefore = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly ctx: Context,
+    workers: Workers,
+    health: Health,
+  ) {
+    this.notification = new Notification(ctx.clock);
+    this.sessions = new MachineSessions(ctx, workers, health, (name, mayPlace) => {
+      this.noteLearned(name, mayPlace);
+    });
+    this.results = new Results(ctx);
+    this.machines = new MachineReconciler(ctx, this.sessions, health, this.results, () => {
+      this.placeDue = true;
+    });
+    this.jobs = new JobReconciler(ctx);
+    this.starts = new Starts(ctx, this.sessions, health, this.results, this.machines);
+    ctx.listeners.push((changes) => {
+      this.noteChanges(changes);
+    });
+  }
+
+  /** Why waiting jobs of this controller's teams were passed over last time. */
+  get waitReasons(): ReadonlyMap<JobId, WaitReason> {
+    return this.starts.waitReasons;
+  }
+
+  /** Takes in a report of one of this controller's machines and says what the worker is to do. */
+  report(machine: MachineRecord, report: Report): ReportAnswer {
+    return this.sessions.report(machine, report);
+  }
+
+  /** A user asked this controller to cancel a job of its own team. */
+  requestCancellation(id: JobId): void {
+    this.jobs.requestCancellation(id);
+    this.notification.notify();
+  }
+
+  async run(): Promise<never> {
+    const { ctx } = this;
+    for (;;) {
+      await this.notification.wait(IDLE_MS);
+      if (!ctx.follower.ready || ctx.view.types === null) continue;
+      const work = this.takeWork();
+      try {
+        const ok = await this.pass(work);
+        if (!ok) for (const name of work) this.dirty.add(name);
+        await ctx.clock.sleep(ok ? PAUSE_MS : RETRY_MS);
+      } catch (e) {
+        ctx.log.error({ err: e }, 'owner loop');
+        await ctx.clock.sleep(ERROR_MS);
+      }
+    }
+  }
+
+  /** False: not all was committed, and what is left has to be worked out anew. */
+  private async pass(work: readonly MachineName[]): Promise<boolean> {
+    const { state, follower } = this.ctx;
+    this.sessions.sendDirect(work);
+    const { now, later } = this.reconcile(work);
+    // Starts go before what only tidies up: under a short budget they would wait for seconds behind it.
+    let ok = await commitAll(state, follower, now, URGENCY.results);
+    ok = (await this.placeIfDue()) && ok;
+    return (await commitAll(state, follower, later, URGENCY.starts, TIDY_MS)) && ok;
+  }
+
+  /** Results, proofs of absence, cancellations and machines that came up; what can wait for starts stands apart. */
+  private reconcile(work: readonly MachineName[]): { now: Group[]; later: Group[] } {
+    const { ctx } = this;
+    const wanted = { jobs: ctx.view.jobs, ledger: ctx.ledger() };
+    const found: FoundResults = new Map();
+    const urgent: Group[] = [];
+    const later: Group[] = [];
+    for (const name of work) {
+      const change = this.machines.reconcile(name, wanted, found);
+      if (change !== null) (change.urgent ? urgent : later).push(change.group);
+    }
+    const { ended, partial } = this.results.settle(found);
+    // Ends of jobs first of all: other jobs may wait for them.
+    const ends = ended.map(({ job, done }) => this.jobs.end(job, done));
+    return { now: [...ends, ...urgent, ...this.jobs.reconcile(found)], later: [...later, ...partial] };
+  }
+
+  private async placeIfDue(): Promise<boolean> {
+    const { clock } = this.ctx;
+    const start = clock.now();
+    if (!this.placeDue || start < this.placeNotBefore) return true;
+    this.placeDue = false;
+    const plan = this.starts.plan();
+    const end = clock.now();
+    this.placeNotBefore = end + (end - start) * PLAN_PART;
+    const ok = await this.starts.commit(plan);
+    if (!ok) this.placeDue = true;
+    return ok;
+  }
+
+  /** The machines to look at now. */
+  private takeWork(): MachineName[] {
+    const { ctx } = this;
+    const now = ctx.clock.now();
+    if (now >= this.sweepAt) {
+      this.sweepAt = now + SWEEP_MS;
+      this.placeDue = true;
+      for (const m of ctx.myMachines()) this.dirty.add(m.name);
+      for (const name of this.sessions.names()) this.dirty.add(name);
+    }
+    const work = [...this.dirty];
+    this.dirty.clear();
+    return work;
+  }
+
+  private noteLearned(name: MachineName, mayPlace: boolean): void {
+    this.dirty.add(name);
+    this.placeDue ||= mayPlace;
+    this.notification.notify();
+  }
+
+  private noteChanges({ machines, jobs, slices, teams, types, cancellations }: Changes): void {
+    let concerned = cancellations.size > 0;
+    for (const name of machines) concerned = this.noteMachine(name) || concerned;
+    for (const id of jobs) concerned = this.noteJob(id) || concerned;
+    if (slices.size > 0 || teams.size > 0 || types) {
+      this.sweepAt = Number.NEGATIVE_INFINITY;
+      this.placeDue = true;
+      concerned = true;
+    }
+    if (concerned) this.notification.notify();
+  }
+
+  /** Whether the change concerns this controller. */
+  private noteMachine(name: MachineName): boolean {
+    const machine = this.ctx.view.machines.get(name);
+    if (machine !== undefined && !this.ctx.isMine(machine)) return false;
+    this.dirty.add(name);
+    this.placeDue = true;
+    return true;
+  }
+
+  private noteJob(id: JobId): boolean {
+    const { ctx } = this;
+    const job = ctx.view.jobs.get(id);
+    if (job?.phase === 'active') {
+      if (!ctx.ownsTeam(job.spec.team)) return false;
+      this.placeDue = true;
+      return true;
+    }
+    for (const at of ctx.ledger().jobs.get(id)?.tasks.values() ?? []) this.dirty.add(at.machine);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/controller/owner/preemptor.ts
@@ -0,0 +1,107 @@
+/**
+ * Makes room for jobs that have found none for a while: services that are wanted all the time, and jobs within their
+ * team's guarantee. At most one machine a pass, so that the next pass sees what came of it.
+ */
+import { key } from '../../core/keys.js';
+import type { WaitReason } from '../../core/placement.js';
+import { pickVictims, stopped, withinGuarantee } from '../../core/preemption.js';
+import type { JobId, JobRecord, MachineName, MachineRecord, Steady } from '../../core/types.js';
+import type { Group } from '../../io/state/transactions.js';
+import type { Context } from '../context.js';
+
+/** Room that was made by stopping something, kept for the job that it was made for. */
+interface Claim {
+  readonly job: JobId;
+  readonly until: number;
+}
+
+export class Preemptor {
+  private readonly claims = new Map<MachineName, Claim>();
+  private readonly waitingSince = new Map<JobId, Steady>();
+
+  constructor(private readonly ctx: Context) {}
+
+  isClaimedByOther(job: JobId, machine: MachineName): boolean {
+    const claim = this.claims.get(machine);
+    return claim !== undefined && claim.job !== job && claim.until > this.ctx.clock.now();
+  }
+
+  /** Something was placed on the machine: what was claimed there is used. */
+  used(machine: MachineName): void {
+    this.claims.delete(machine);
+  }
+
+  /** The change that stops tasks for one of the jobs passed over, if any may have tasks stopped for it. */
+  preempt(waitReasons: ReadonlyMap<JobId, WaitReason>, slice: readonly MachineRecord[]): Group | null {
+    const { ctx } = this;
+    this.forgetOld(waitReasons);
+    const startable = new Map(ctx.dependencies.all().startable.map((j) => [j.spec.id, j]));
+    for (const [id, reason] of waitReasons) {
+      if (reason !== 'no_room') continue;
+      const job = startable.get(id);
+      if (!this.hasWaited(id) || job === undefined || !this.mayPreempt(job)) continue;
+      const group = this.makeRoom(job, slice);
+      if (group !== null) return group;
+    }
+    return null;
+  }
+
+  private forgetOld(waitReasons: ReadonlyMap<JobId, WaitReason>): void {
+    const now = this.ctx.clock.now();
+    for (const id of this.waitingSince.keys()) if (!waitReasons.has(id)) this.waitingSince.delete(id);
+    for (const [machine, claim] of this.claims) if (claim.until <= now) this.claims.delete(machine);
+  }
+
+  /** Room may come by itself for a while. */
+  private hasWaited(id: JobId): boolean {
+    const now = this.ctx.clock.now();
+    const since = this.waitingSince.get(id);
+    if (since === undefined) this.waitingSince.set(id, now);
+    return since !== undefined && now - since >= this.ctx.operator.placement.patience_s * 1000;
+  }
+
+  private isEntitled({ spec }: JobRecord): boolean {
+    return withinGuarantee(this.ctx.teams.get(spec.team), this.ctx.ledger(), spec, 1);
+  }
+
+  private mayPreempt(job: JobRecord): boolean {
+    const { spec } = job;
+    if (spec.kind === 'gang' && spec.tasks > 1) return false;
+    const placed = this.ctx.ledger().jobs.get(spec.id)?.tasks.size ?? 0;
+    let claimed = 0;
+    for (const claim of this.claims.values()) if (claim.job === spec.id) claimed++;
+    if (claimed >= spec.tasks - job.done.count - placed) return false;
+    return spec.priority === 'production' || this.isEntitled(job);
+  }
+
+  private makeRoom(job: JobRecord, slice: readonly MachineRecord[]): Group | null {
+    const { ctx } = this;
+    const { spec } = job;
+    const found = pickVictims({
+      job: spec,
+      jobs: ctx.view.jobs,
+      slice,
+      ledger: ctx.ledger(),
+      teams: ctx.teams,
+      taken: (m) => this.claims.has(m.name),
+    });
+    if (found === null) return null;
+    const { machine, victims } = found;
+    this.claims.set(machine.name, {
+      job: spec.id,
+      until: ctx.clock.now() + ctx.operator.placement.claim_s * 1000,
+    });
+    const entitled = this.isEntitled(job);
+    for (const v of victims)
+      ctx.log.info(
+        { job: v.job, tasks: v.tasks, attempt: v.attempt, machine: machine.name, for: spec.id, entitled },
+        'preempt',
+      );
+    const value: MachineRecord = { ...machine, placed: stopped(machine.placed, victims) };
+    const k = key.machine(machine.name);
+    return {
+      ops: [{ key: k, value, reason: 'preemption' }],
+      guards: [ctx.guard(k), ctx.guard(key.slice(machine.owner))],
+    };
+  }
+}
--- /dev/null
+++ b/src/controller/owner/results.ts
@@ -0,0 +1,126 @@
+/**
+ * Tasks that have ended: which results are in the state service already, which entries of machine records may stay for a
+ * while, and how often the results of unfinished jobs are written. Changes are what the state service has least of.
+ */
+import { isDone, markDone } from '../../core/jobs.js';
+import { key } from '../../core/keys.js';
+import type { Exit } from '../../core/worker-reports.js';
+import type {
+  DoneSet,
+  JobId,
+  JobRecord,
+  MachineName,
+  MachineRecord,
+  Steady,
+  TaskIndex,
+  Token,
+} from '../../core/types.js';
+import type { Group } from '../../io/state/transactions.js';
+import type { Context } from '../context.js';
+import { MOST_STAY_MS, SWEEP_MS } from './timing.js';
+
+/** Results of one job are gathered for so long at least where the budget is short. */
+const GATHER_MS = 2500;
+/** The part of this process's write budget that results of unfinished jobs may take; twice that where it is idle. */
+const BUDGET_PART = 0.15;
+
+/** The results that one pass has found, by job. */
+export type FoundResults = Map<JobId, Set<TaskIndex>>;
+
+export class Results {
+  /**
+   * Tasks that are done and whose entries are still in their machine's record. Their room can be used again at
+   * once: the record only says too much. After a crash the next owner sees them exited in the next report.
+   */
+  private readonly proven = new Map<MachineName, { token: Token; exits: readonly Exit[] }>();
+  private readonly writtenAt = new Map<JobId, Steady>();
+
+  constructor(private readonly ctx: Context) {}
+
+  /** Remembers which ended tasks of a machine may keep their entries for now. */
+  remember(machine: MachineRecord, token: Token, exits: readonly Exit[]): void {
+    const kept = exits.filter((e) => this.mayStay(e));
+    if (kept.length > 0) this.proven.set(machine.name, { token, exits: kept });
+    else this.proven.delete(machine.name);
+  }
+
+  forget(name: MachineName): void {
+    this.proven.delete(name);
+  }
+
+  /** Machines with entries of ended tasks. */
+  machines(): Iterable<MachineName> {
+    return this.proven.keys();
+  }
+
+  /** Tasks known to have ended whose entries are still in the record. */
+  provenOn(machine: MachineRecord): Exit[] {
+    const known = this.proven.get(machine.name);
+    if (known?.token !== this.ctx.view.tokenOf(machine)) return [];
+    return known.exits.filter((e) =>
+      machine.placed.some(
+        (p) => p.job === e.placed.job && p.attempt === e.placed.attempt && p.tasks.includes(e.index),
+      ),
+    );
+  }
+
+  /** The entry of a task that is done harms nobody, except where its job's cancellation waits for it. */
+  mayStay(exit: Exit): boolean {
+    return exit.why === 'done' && this.ctx.view.jobs.get(exit.placed.job)?.phase !== 'cancelling';
+  }
+
+  /** The task's result is in the state service: only then may its machine forget it. */
+  isDurable(exit: Exit): boolean {
+    const job = this.ctx.view.jobs.get(exit.placed.job);
+    return job === undefined || isDone(job.done, exit.index);
+  }
+
+  /** Adds what an exit says of its job's results. */
+  collect(exit: Exit, found: FoundResults): void {
+    if (exit.why !== 'done' || this.isDurable(exit)) return;
+    const { job, kind } = exit.placed;
+    const indexes = found.get(job) ?? new Set<TaskIndex>();
+    found.set(job, indexes);
+    if (kind !== 'gang') {
+      indexes.add(exit.index);
+      return;
+    }
+    // The tasks of a gang complete together: one that is done says that all are.
+    const tasks = this.ctx.view.jobs.get(job)?.spec.tasks ?? 0;
+    for (let i = 0; i < tasks; i++) indexes.add(i);
+  }
+
+  /** The jobs that have ended, and the results of others that are due to be written. */
+  settle(found: FoundResults): { ended: { job: JobRecord; done: DoneSet }[]; partial: Group[] } {
+    const { ctx } = this;
+    const now = ctx.clock.now();
+    const everyMs = this.writeEveryMs(found.size);
+    const ended: { job: JobRecord; done: DoneSet }[] = [];
+    const partial: Group[] = [];
+    for (const [id, indexes] of found) {
+      const job = ctx.view.jobs.get(id);
+      if (job === undefined) continue;
+      const done = markDone(job.done, indexes);
+      if (done.count >= job.spec.tasks) ended.push({ job, done });
+      else if (now - (this.writtenAt.get(id) ?? Number.NEGATIVE_INFINITY) >= everyMs) {
+        this.writtenAt.set(id, now);
+        partial.push({
+          ops: [{ key: key.job(id), value: ctx.storedJob({ ...job, done }), reason: 'results' }],
+          guards: [ctx.guard(key.job(id))],
+        });
+      }
+    }
+    for (const id of this.writtenAt.keys()) if (!ctx.view.jobs.has(id)) this.writtenAt.delete(id);
+    return { ended, partial };
+  }
+
+  /**
+   * How often a job's results are written: all jobs' together may take a part of what this process may write. Nothing is
+   * lost with them but time: a task whose result is not written is still on its machine's record and in its reports.
+   */
+  private writeEveryMs(jobs: number): number {
+    const { settings, spare } = this.ctx.state;
+    const rate = (settings.writeRps / settings.nodes) * (spare ? 2 * BUDGET_PART : BUDGET_PART);
+    return Math.min(MOST_STAY_MS, Math.max(spare ? SWEEP_MS : GATHER_MS, (jobs * 1000) / rate));
+  }
+}
--- /dev/null
+++ b/src/controller/owner/unreachable.ts
@@ -0,0 +1,63 @@
+/** Tells machines that have failed from machines that the network keeps from their owner. */
+import { ANSWER_WAIT_MS } from '../../core/worker-reports.js';
+import type { MachineMemory } from '../../core/worker-reports.js';
+import type { MachineRecord } from '../../core/types.js';
+import type { Context } from '../context.js';
+import type { MachineSessions } from './machine-sessions.js';
+
+/** A worker turns to the next controller so long after it got no answer. */
+const NEXT_CONTROLLER_MS = 1000;
+/** What one controller that does not answer costs a worker. */
+const HOP_MS = ANSWER_WAIT_MS + NEXT_CONTROLLER_MS;
+/** Delays of the network and of busy processes, beside one hop and beside several. */
+const SLACK_MS = 1500;
+const LONG_SLACK_MS = 3000;
+/** ReportRouter come every `report_s`, give or take a quarter. */
+const LATEST_REPORT = 1.25;
+/** Heard within so many report intervals, a machine counts as there. */
+export const HEARD_INTERVALS = 2;
+/** That so many others of a zone are silent, too, is no chance. */
+const FEW_OTHERS = 3;
+/** Without an answer of the state service for so long nothing is concluded. */
+const STATE_FRESH_MS = 1000;
+
+/**
+ * Whether the machine was not heard for so long that a worker with nothing but its owner out of reach would have turned
+ * to another controller by now, and none has written that it did. Silence proves nothing: what follows from it is that
+ * the machine is returned, and only the cloud's answer to that frees its tasks.
+ */
+export function isUnreachable(
+  ctx: Context,
+  sessions: MachineSessions,
+  machine: MachineRecord,
+  memory: MachineMemory,
+): boolean {
+  if (machine.phase === 'releasing' || ctx.substituteOf(machine) !== null) return false;
+  if (machine.phase === 'booting' && memory.report === null) return false;
+  if (!ctx.state.reachable(STATE_FRESH_MS)) return false;
+  const { report_s, lease_s } = ctx.settings.workers;
+  const reportMs = report_s * 1000;
+  const now = ctx.clock.now();
+  const quietMs = now - memory.heardAt;
+  // A worker that has not reported to this owner yet may have to try every other controller first.
+  const hops = memory.postedAt === null ? ctx.settings.nodes : 1;
+  const turnsAwayMs = LATEST_REPORT * reportMs + hops * HOP_MS + SLACK_MS;
+  if (quietMs < turnsAwayMs) return false;
+  // Where its whole zone is silent, or it is alone there, the network is the more likely cause: then time is given to
+  // try every controller, one after the other, and to be written down by one of them. Only those count that were heard
+  // all along: when a cut ends, the first that is back says nothing about the others.
+  let others = 0;
+  for (const other of ctx.myMachines()) {
+    if (other.name === machine.name || other.zone !== machine.zone || other.phase === 'booting') continue;
+    others++;
+    const { heardAt, steadySince } = sessions.of(other);
+    const steady = steadySince !== null && now - steadySince > turnsAwayMs;
+    if (steady && now - heardAt < reportMs * HEARD_INTERVALS) return true;
+  }
+  // And another lease: until then its machines may be back at once, while new ones must boot and fetch. Where several
+  // are silent together it is hardly they that failed, and what would replace them needs a boot: so much longer they
+  // are waited for. Those that did fail are listed as failed by the cloud, and returned for that.
+  const bootS = others >= FEW_OTHERS ? (ctx.types.get(machine.type)?.bootS ?? 0) : 0;
+  const triesAllMs = LATEST_REPORT * reportMs + ctx.settings.nodes * HOP_MS + LONG_SLACK_MS;
+  return quietMs > triesAllMs + (lease_s + bootS) * 1000;
+}
--- a/src/controller/reports.ts
+++ b/src/controller/report-router.ts
@@ -6,7 +6,7 @@
 // the worker a higher one, such an answer is dropped. Who is kept alive this way is written down, so that
 // nobody takes those machines for dead.
 import type {
-  AliveRecord,
+  SubstitutesRecord,
   Command,
   MachineName,
   MachineRecord,
@@ -15,14 +15,15 @@
   Token,
 } from '../core/types.js';
 import { bytesOf } from '../core/records.js';
-import { key } from '../core/view.js';
-import { URGENT } from '../io/pacer.js';
+import { key } from '../core/keys.js';
+import { URGENCY } from '../io/rate-limiter.js';
+import type { Op } from '../io/wire.js';
 import type { Context } from './context.js';
 import type { Health } from './health.js';
-import { leaderOf, type Leader } from './leader.js';
+import { leaderOf, type Leader } from './leader/leader.js';
 import type { Membership } from './membership.js';
-import type { Owner, ReportAnswer } from './owner.js';
-import type { Standing } from './standing.js';
+import type { Owner, ReportAnswer } from './owner/owner.js';
+import type { Availability } from './availability.js';
 
 interface Substituted {
   /** The owner's token; under another one everything begins anew. */
@@ -40,7 +41,7 @@
 const BACK_SOONEST_MS = 900;
 const BACK_LATEST_MS = 25_000;
 
-export class Reports {
+export class ReportRouter {
   private readonly substituted = new Map<MachineName, Substituted>();
   /** Workers that were sent to their owner, and when. */
   private readonly sentOn = new Map<MachineName, { token: Token; at: Steady }>();
@@ -55,15 +56,12 @@
     private readonly leader: Leader,
     private readonly health: Health,
     private readonly membership: Membership,
-    private readonly standing: Standing,
+    private readonly availability: Availability,
   ) {
-    ctx.listeners.push((keys) => {
-      let all = false;
-      for (const k of keys) {
-        if (k.startsWith('p/m/')) this.noteToken(k.slice(4) as MachineName);
-        else if (k.startsWith('p/o/')) all = true;
-      }
-      if (all) for (const name of ctx.view.machines.keys()) this.noteToken(name);
+    ctx.listeners.push(({ machines, slices }) => {
+      for (const name of slices.size > 0 ? ctx.view.machines.keys() : machines) this.noteToken(name);
+      // Those that have just gone are not in the view any more.
+      if (slices.size > 0) for (const name of machines) this.noteToken(name);
     });
   }
 
@@ -88,16 +86,16 @@
     if (m === undefined) {
       const leader = leaderOf(ctx);
       if (leader !== ctx.settings.node) return { kind: 'elsewhere', node: leader };
-      this.leader.stranger(r);
+      this.leader.noteUnknown(r);
       return { kind: 'elsewhere', node: null };
     }
     if (ctx.isMine(m)) {
-      if (!this.standing.holds) return this.answerAlone(m, r);
+      if (!this.availability.mayAnswerWorkers) return this.answerIsolated(m, r);
       this.sentOn.delete(m.name);
       this.cameBack.delete(m.name);
       return this.owner.report(m, r);
     }
-    if (!this.fresh()) return this.answerAlone(m, r);
+    if (!this.fresh()) return this.answerIsolated(m, r);
     const holder = ctx.holderOf(m);
     if (!this.substitutes(m, r, holder !== null)) return { kind: 'elsewhere', node: holder };
     return { kind: 'ok', token: ctx.view.tokenOf(m), commands: this.stops(r) };
@@ -111,9 +109,10 @@
    * it does for substitutes. After a lease it is sent on again: another controller may wait for it, and would give its
    * machine up.
    */
-  private answerAlone(m: MachineRecord, r: Report): ReportAnswer {
+  private answerIsolated(m: MachineRecord, r: Report): ReportAnswer {
     const { ctx } = this;
-    if (!this.standing.alone) return { kind: 'elsewhere', node: ctx.isMine(m) ? null : ctx.holderOf(m) };
+    if (!this.availability.isolated)
+      return { kind: 'elsewhere', node: ctx.isMine(m) ? null : ctx.holderOf(m) };
     const t = ctx.clock.now();
     const token = ctx.view.tokenOf(m);
     const kept = this.cameBack.get(m.name);
@@ -225,11 +224,11 @@
         machines.push(name);
       }
       const text = `${lease} ${machines.join(' ')}`;
-      const k = key.alive(ctx.settings.node);
+      const k = key.substitutes(ctx.settings.node);
       if (text === this.written || (machines.length === 0 && ctx.view.versionOf(k) === 0)) continue;
-      const value: AliveRecord | undefined = machines.length === 0 ? undefined : { machines, lease };
-      const op = { key: k, value, ...(value === undefined ? {} : { lease }) };
-      const r = await ctx.state.txn([ctx.guard(k)], [op], URGENT.users);
+      const value: SubstitutesRecord | undefined = machines.length === 0 ? undefined : { machines, lease };
+      const op: Op = { key: k, value, reason: 'machine_state', ...(value === undefined ? {} : { lease }) };
+      const r = await ctx.state.txn([ctx.guard(k)], [op], URGENCY.users);
       if (r.kind !== 'ok') continue;
       ctx.follower.applied([op], r.rev);
       this.written = text;
--- a/src/controller/status.ts
+++ b/src/controller/status.ts
@@ -1,9 +1,10 @@
 // What an operator sees: who holds what, how the teams stand to one another, and why jobs wait.
 import { CPU, GPU, NOTHING, UNIT, type Amounts } from '../core/types.js';
-import type { Dependency } from '../core/needs.js';
+import type { Dependency } from '../core/dependencies.js';
+import { key } from '../core/keys.js';
 import type { Context } from './context.js';
-import { leaderOf } from './leader.js';
-import type { Owner } from './owner.js';
+import { leaderOf } from './leader/leader.js';
+import type { Owner } from './owner/owner.js';
 
 /** Lists are cut to this length, so that an answer stays readable and small. */
 const MOST = 200;
@@ -26,12 +27,12 @@
     const tasks = j.spec.tasks - j.done.count - placed;
     if (tasks <= 0) return [];
     const { id, team, kind, priority } = j.spec;
-    const need = ctx.needs.all().of.get(id);
+    const need = ctx.dependencies.all().of.get(id);
     const why =
       need !== undefined && need.kind !== 'ready'
         ? waitsFor(need)
         : ctx.ownsTeam(team)
-          ? (owner.passed.get(id) ?? (j.phase === 'cancelling' ? 'cancelling' : 'about to be placed'))
+          ? (owner.waitReasons.get(id) ?? (j.phase === 'cancelling' ? 'cancelling' : 'about to be placed'))
           : `ask ${ctx.holderOf(view.teams.get(team)) ?? 'again: its slice has no holder now'}`;
     return [{ job: id, team, kind, priority, tasks, waitsS: Math.round((wall - j.submitted) / 1000), why }];
   });
@@ -43,7 +44,7 @@
     slices: [...view.slices].map(([name, s]) => ({
       slice: name,
       holder: ctx.holderOf({ owner: name }),
-      token: view.versionOf(`p/o/${encodeURIComponent(name)}`),
+      token: view.versionOf(key.slice(name)),
       last: s.holder,
     })),
     teams: [...ctx.teams.values()].map((t) => ({
--- /dev/null
+++ b/src/core/changes.ts
@@ -0,0 +1,64 @@
+/** Which records of the shared state have changed, by kind: what loops and caches are told of. */
+import { parseKey } from './keys.js';
+import type { JobId, MachineName, NodeName, TeamName } from './types.js';
+
+/** The records that one batch of changes concerned; the view holds their present state already. */
+export interface Changes {
+  readonly jobs: ReadonlySet<JobId>;
+  readonly machines: ReadonlySet<MachineName>;
+  readonly teams: ReadonlySet<TeamName>;
+  readonly slices: ReadonlySet<NodeName>;
+  readonly sessions: ReadonlySet<NodeName>;
+  readonly cancellations: ReadonlySet<JobId>;
+  readonly leader: boolean;
+  readonly types: boolean;
+}
+
+/** Changes to jobs alone. */
+export const jobChanges = (jobs: ReadonlySet<JobId>): Changes => ({ ...changesOf([]), jobs });
+
+/** Sorts changed keys by the kind of their records. */
+export function changesOf(keys: Iterable<string>): Changes {
+  const jobs = new Set<JobId>();
+  const machines = new Set<MachineName>();
+  const teams = new Set<TeamName>();
+  const slices = new Set<NodeName>();
+  const sessions = new Set<NodeName>();
+  const cancellations = new Set<JobId>();
+  let leader = false;
+  let types = false;
+  for (const text of keys) {
+    const parsed = parseKey(text);
+    switch (parsed.kind) {
+      case 'job':
+        jobs.add(parsed.job);
+        break;
+      case 'machine':
+        machines.add(parsed.machine);
+        break;
+      case 'team':
+        teams.add(parsed.team);
+        break;
+      case 'slice':
+        slices.add(parsed.slice);
+        break;
+      case 'session':
+        sessions.add(parsed.node);
+        break;
+      case 'cancellation':
+        cancellations.add(parsed.job);
+        break;
+      case 'leader':
+        leader = true;
+        break;
+      case 'types':
+        types = true;
+        break;
+      case 'rental':
+      case 'substitutes':
+      case 'final':
+      case 'unknown':
+    }
+  }
+  return { jobs, machines, teams, slices, sessions, cancellations, leader, types };
+}
--- a/src/core/needs.ts
+++ b/src/core/dependencies.ts
@@ -118,7 +118,7 @@
  * A needed job has the highest priority of any that needs it, and has to be done early enough for each of them: users
  * set both on the last job of a pipeline only.
  */
-export function dependencies(input: DependencyInput): Dependencies {
+export function judgeDependencies(input: DependencyInput): Dependencies {
   const { jobs } = input;
   const ordered = inOrder(jobs.values(), jobs);
   const of = judgeAll(ordered, input);
--- /dev/null
+++ b/src/core/keys.ts
@@ -0,0 +1,95 @@
+/**
+ * Keys of the state service: how they are built, and what a key found there stands for.
+ *
+ * All keys but those of final states begin with one prefix, so that a single watch delivers their changes in one order.
+ * The version in production reads and writes the same keys: their form never changes.
+ */
+import {
+  jobId,
+  machineName,
+  nodeName,
+  teamName,
+  type JobId,
+  type MachineName,
+  type NodeName,
+  type TeamName,
+} from './types.js';
+
+/** The prefix of all watched keys. */
+export const WATCHED_PREFIX = 'p/';
+
+const PREFIX = {
+  job: 'p/j/',
+  machine: 'p/m/',
+  team: 'p/t/',
+  slice: 'p/o/',
+  session: 'p/s/',
+  rental: 'p/r/',
+  substitutes: 'p/a/',
+  cancellation: 'p/c/',
+  moreTypes: 'p/types/',
+  final: 'f/',
+} as const;
+const LEADER = 'p/leader';
+const TYPES = 'p/types';
+
+/** Builds the key of each kind of record. */
+export const key = {
+  job: (id: JobId) => PREFIX.job + id,
+  machine: (name: MachineName) => PREFIX.machine + name,
+  team: (name: TeamName) => PREFIX.team + encodeURIComponent(name),
+  slice: (name: string) => PREFIX.slice + encodeURIComponent(name),
+  session: (node: string) => PREFIX.session + encodeURIComponent(node),
+  rental: (name: string) => PREFIX.rental + name,
+  /** Machines that a controller answers in place of their owners. */
+  substitutes: (node: string) => PREFIX.substitutes + encodeURIComponent(node),
+  cancellation: (id: JobId) => PREFIX.cancellation + id,
+  leader: LEADER,
+  /** The list of machine types; what does not fit into one value goes on in `moreTypes`. */
+  types: TYPES,
+  moreTypes: (part: number) => `${PREFIX.moreTypes}${part}`,
+  /** Outside the watched prefix: finished jobs are kept for ever and read only when asked for. */
+  final: (id: JobId) => PREFIX.final + id,
+};
+
+/** What a key stands for. */
+export type ParsedKey =
+  | { readonly kind: 'job'; readonly job: JobId }
+  | { readonly kind: 'machine'; readonly machine: MachineName }
+  | { readonly kind: 'team'; readonly team: TeamName }
+  | { readonly kind: 'slice'; readonly slice: NodeName }
+  | { readonly kind: 'session'; readonly node: NodeName }
+  | { readonly kind: 'rental'; readonly rental: string }
+  | { readonly kind: 'substitutes'; readonly node: NodeName }
+  | { readonly kind: 'cancellation'; readonly job: JobId }
+  | { readonly kind: 'leader' }
+  | { readonly kind: 'types' }
+  | { readonly kind: 'final'; readonly job: JobId }
+  | { readonly kind: 'unknown' };
+
+const PARSERS: readonly (readonly [string, (rest: string) => ParsedKey])[] = [
+  [PREFIX.job, (rest) => ({ kind: 'job', job: jobId(rest) })],
+  [PREFIX.machine, (rest) => ({ kind: 'machine', machine: machineName(rest) })],
+  [PREFIX.team, (rest) => ({ kind: 'team', team: teamName(decodeURIComponent(rest)) })],
+  [PREFIX.slice, (rest) => ({ kind: 'slice', slice: nodeName(decodeURIComponent(rest)) })],
+  [PREFIX.session, (rest) => ({ kind: 'session', node: nodeName(decodeURIComponent(rest)) })],
+  [PREFIX.rental, (rest) => ({ kind: 'rental', rental: rest })],
+  [PREFIX.substitutes, (rest) => ({ kind: 'substitutes', node: nodeName(decodeURIComponent(rest)) })],
+  [PREFIX.cancellation, (rest) => ({ kind: 'cancellation', job: jobId(rest) })],
+  [PREFIX.moreTypes, () => ({ kind: 'types' })],
+  [PREFIX.final, (rest) => ({ kind: 'final', job: jobId(rest) })],
+];
+
+/** Says what a key stands for; a key of no known form is `unknown`. */
+export function parseKey(text: string): ParsedKey {
+  if (text === LEADER) return { kind: 'leader' };
+  if (text === TYPES) return { kind: 'types' };
+  try {
+    for (const [prefix, parse] of PARSERS)
+      if (text.startsWith(prefix)) return parse(text.slice(prefix.length));
+  } catch (e) {
+    // A name that was not encoded as a key was not written by any version of this program.
+    if (!(e instanceof URIError)) throw e;
+  }
+  return { kind: 'unknown' };
+}
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -65,11 +65,11 @@
 }
 
 /** Why a job of the team was passed over: for the status command and the logs. */
-export type Passed = 'team_limit' | 'no_room' | 'old_attempt' | 'behind_gang';
+export type WaitReason = 'team_limit' | 'no_room' | 'old_attempt' | 'behind_gang';
 
 export interface ScheduleResult {
   readonly placements: readonly Placement[];
-  readonly passed: ReadonlyMap<JobId, Passed>;
+  readonly waitReasons: ReadonlyMap<JobId, WaitReason>;
 }
 
 /**
@@ -104,7 +104,7 @@
 export function schedule(input: ScheduleInput): ScheduleResult {
   const { ledger } = input;
   const placements: Placement[] = [];
-  const passed = new Map<JobId, Passed>();
+  const waitReasons = new Map<JobId, WaitReason>();
 
   const queues = new Map<TeamName, JobRecord[]>();
   for (const j of input.jobs) {
@@ -248,7 +248,7 @@
     ledger.add(room.m, placedOf(spec, att, [index]));
   };
 
-  const tryGang = (j: JobRecord, share: number): Passed | null => {
+  const tryGang = (j: JobRecord, share: number): WaitReason | null => {
     const { spec } = j;
     if (ledger.jobs.has(spec.id)) return 'old_attempt';
     if (!ledger.withinLimit(spec.team, spec.demand, spec.tasks)) return 'team_limit';
@@ -283,7 +283,7 @@
     return null;
   };
 
-  const tryOne = (j: JobRecord, share: number): Passed | null | 'nothing_left' => {
+  const tryOne = (j: JobRecord, share: number): WaitReason | null | 'nothing_left' => {
     const { spec } = j;
     let it = next.get(spec.id);
     if (it === undefined) {
@@ -333,7 +333,7 @@
         served = true;
         if (j.spec.kind === 'gang') queue.shift();
       } else {
-        if (why !== 'nothing_left') passed.set(j.spec.id, why);
+        if (why !== 'nothing_left') waitReasons.set(j.spec.id, why);
         if (why === 'no_room' && j.spec.kind === 'gang' && !holding && input.mayHold(j)) hold(j.spec);
         queue.shift();
         // A gang next in its team's order that waits for the team's limit only: smaller work behind it would take
@@ -348,7 +348,7 @@
           const behind = queue.splice(0);
           for (const later of behind) {
             if (input.overdue(later)) queue.push(later);
-            else passed.set(later.spec.id, 'behind_gang');
+            else waitReasons.set(later.spec.id, 'behind_gang');
           }
         }
       }
@@ -357,7 +357,7 @@
   }
   // The ledger is everybody's: what was put on paper here counts once it is committed.
   for (const p of placements) ledger.remove(p.machine, placedOf(p.job, p.attempt, [p.index]));
-  return { placements, passed };
+  return { placements, waitReasons };
 }
 
 export function placedOf(spec: JobSpec, attempt: Attempt, tasks: readonly TaskIndex[]): Placed {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -126,6 +126,8 @@
 
 export type JobPhase = 'active' | 'cancelling';
 export type FinalState = 'done' | 'cancelled';
+/** A job's state as its user is told. */
+export type JobState = 'pending' | 'running' | FinalState;
 
 /** What the state service keeps of an unfinished job. */
 export interface JobRecord {
@@ -214,7 +216,7 @@
 }
 
 /** Machines that answer to a controller which is not their owner, since they do not reach that one. */
-export interface AliveRecord {
+export interface SubstitutesRecord {
   readonly machines: readonly MachineName[];
   readonly lease: number;
 }
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,6 +1,7 @@
 // One process's picture of the shared state, built from a listing and the watch that follows it. Everything
 // the schedulers read stands under one prefix and so arrives in one order: a view at revision R holds
 // exactly what was committed up to R, plus this process's own newer writes.
+import { parseKey } from './keys.js';
 import { jobFromStored, type StoredJob } from './records.js';
 import {
   token,
@@ -8,7 +9,7 @@
   revision,
   type JobId,
   type JobRecord,
-  type AliveRecord,
+  type SubstitutesRecord,
   type LeaderRecord,
   type MachineName,
   type MachineRecord,
@@ -24,32 +25,6 @@
   NO_VERSION,
 } from './types.js';
 
-export const ROOT = 'p/';
-export const MACHINES = 'p/m/';
-const MORE_TYPES = 'p/types/';
-const FINAL = 'f/';
-export const key = {
-  job: (id: JobId) => `p/j/${id}`,
-  machine: (name: MachineName) => `p/m/${name}`,
-  team: (name: TeamName) => `p/t/${encodeURIComponent(name)}`,
-  slice: (name: string) => `p/o/${encodeURIComponent(name)}`,
-  session: (node: string) => `p/s/${encodeURIComponent(node)}`,
-  rental: (name: string) => `p/r/${name}`,
-  /** Machines that a controller answers in place of their owners. */
-  alive: (node: string) => `p/a/${encodeURIComponent(node)}`,
-  cancel: (id: JobId) => `p/c/${id}`,
-  leader: 'p/leader',
-  types: 'p/types',
-  /** What does not fit there; the version before pipelines reads the first part only. */
-  moreTypes: (n: number) => `${MORE_TYPES}${n}`,
-  /** Outside the watched prefix: finished jobs are kept for ever and read only when asked for. */
-  final: (id: JobId) => `${FINAL}${id}`,
-};
-
-/** The job whose final state the key holds; null for any other key. */
-export const finalJobOf = (k: string): JobId | null =>
-  k.startsWith(FINAL) ? (k.slice(FINAL.length) as JobId) : null;
-
 export interface Entry {
   readonly value: unknown;
   readonly version: Version;
@@ -71,9 +46,9 @@
   readonly sessions = new Map<string, SessionRecord>();
   readonly slices = new Map<string, SliceRecord>();
   readonly rentals = new Map<string, RentalRecord>();
-  readonly cancels = new Set<JobId>();
+  readonly cancellations = new Set<JobId>();
   /** By controller: the machines that reach it and not their owner. */
-  readonly alive = new Map<string, ReadonlySet<MachineName>>();
+  readonly substitutes = new Map<string, ReadonlySet<MachineName>>();
   leader: LeaderRecord | null = null;
   types: readonly MachineType[] | null = null;
   /** Machines whose records changed since somebody last took the set in; see `Context.ledger`. */
@@ -138,34 +113,54 @@
       if (value === undefined) map.delete(name);
       else map.set(name, value as V);
     };
-    const rest = k.slice(4);
-    if (k.startsWith('p/j/')) {
-      if (value === undefined) this.jobs.delete(rest as JobId);
-      else this.jobs.set(rest as JobId, jobFromStored(value as StoredJob));
-      this.jobChanges++;
-    } else if (k.startsWith('p/m/')) {
-      set(this.machines, rest as MachineName);
-      this.touched.add(rest as MachineName);
-    } else if (k.startsWith('p/t/')) set(this.teams, decodeURIComponent(rest) as TeamName);
-    else if (k.startsWith('p/o/')) {
-      const slice = decodeURIComponent(rest);
-      set(this.slices, slice);
-      if (value === undefined) this.sliceVersions.delete(slice);
-      else this.sliceVersions.set(slice, v);
-    } else if (k.startsWith('p/s/')) set(this.sessions, decodeURIComponent(rest));
-    else if (k.startsWith('p/r/')) set(this.rentals, rest);
-    else if (k.startsWith('p/a/')) {
-      const node = decodeURIComponent(rest);
-      if (value === undefined) this.alive.delete(node);
-      else this.alive.set(node, new Set((value as AliveRecord).machines));
-    } else if (k.startsWith('p/c/')) {
-      if (value === undefined) this.cancels.delete(rest as JobId);
-      else this.cancels.add(rest as JobId);
-    } else if (k === key.leader) this.leader = (value ?? null) as LeaderRecord | null;
-    else if (k === key.types || k.startsWith(MORE_TYPES)) {
-      set(this.typeParts, k);
-      const parts = [...this.typeParts].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, part]) => part);
-      this.types = parts.length === 0 ? null : parts.flat();
+    const parsed = parseKey(k);
+    switch (parsed.kind) {
+      case 'job':
+        if (value === undefined) this.jobs.delete(parsed.job);
+        else this.jobs.set(parsed.job, jobFromStored(value as StoredJob));
+        this.jobChanges++;
+        break;
+      case 'machine':
+        set(this.machines, parsed.machine);
+        this.touched.add(parsed.machine);
+        break;
+      case 'team':
+        set(this.teams, parsed.team);
+        break;
+      case 'slice':
+        set(this.slices, parsed.slice);
+        if (value === undefined) this.sliceVersions.delete(parsed.slice);
+        else this.sliceVersions.set(parsed.slice, v);
+        break;
+      case 'session':
+        set(this.sessions, parsed.node);
+        break;
+      case 'rental':
+        set(this.rentals, parsed.rental);
+        break;
+      case 'substitutes':
+        if (value === undefined) this.substitutes.delete(parsed.node);
+        else this.substitutes.set(parsed.node, new Set((value as SubstitutesRecord).machines));
+        break;
+      case 'cancellation':
+        if (value === undefined) this.cancellations.delete(parsed.job);
+        else this.cancellations.add(parsed.job);
+        break;
+      case 'leader':
+        this.leader = (value ?? null) as LeaderRecord | null;
+        break;
+      case 'types':
+        this.indexTypes(k, value);
+        break;
+      case 'final':
+      case 'unknown':
     }
   }
+
+  private indexTypes(k: string, value: unknown): void {
+    if (value === undefined) this.typeParts.delete(k);
+    else this.typeParts.set(k, value as readonly MachineType[]);
+    const parts = [...this.typeParts].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, part]) => part);
+    this.types = parts.length === 0 ? null : parts.flat();
+  }
 }
--- a/src/core/takeover.ts
+++ b/src/core/worker-reports.ts
@@ -71,7 +71,7 @@
   a.session > b.session || (a.session === b.session && a.seq > b.seq);
 
 /** A worker waits so long for an answer before it turns to the next controller. */
-const ANSWER_WAIT_MS = 4000;
+export const ANSWER_WAIT_MS = 4000;
 
 /**
  * Takes in a report. False if an equally new or newer one is known. Hearing a machine does not show that it hears:
--- a/src/io/cloud.ts
+++ b/src/io/cloud.ts
@@ -2,7 +2,7 @@
 import type { MachineName, MachineType, RentalRecord } from '../core/types.js';
 import type { Clock } from '../core/clock.js';
 import type { Reply, Transport } from './http.js';
-import { Pacer, type Urgency } from './pacer.js';
+import { RateLimiter, type Urgency } from './rate-limiter.js';
 import * as wire from './wire.js';
 
 export type Rented =
@@ -12,7 +12,7 @@
   | { readonly kind: 'unknown' };
 
 export class CloudClient {
-  private readonly pacer: Pacer;
+  private readonly limiter: RateLimiter;
 
   constructor(
     private readonly http: Transport,
@@ -20,7 +20,7 @@
     clock: Clock,
   ) {
     const rate = rps * 0.9;
-    this.pacer = new Pacer({ high: rate, low: rate }, { high: 1, low: 1 }, 50, 1, clock);
+    this.limiter = new RateLimiter({ high: rate, low: rate }, { high: 1, low: 1 }, 50, 1, clock);
   }
 
   private async call(
@@ -29,10 +29,10 @@
     body: unknown,
     urgency: Urgency,
   ): Promise<Reply | null> {
-    if (!(await this.pacer.take(urgency, 0))) return null;
+    if (!(await this.limiter.take(urgency, 0))) return null;
     try {
       const r = await this.http.request(method, path, body, 5000);
-      if (r.status === 429) this.pacer.drained(0);
+      if (r.status === 429) this.limiter.drained(0);
       return r;
     } catch {
       return null;
--- a/src/io/pacer.ts
+++ b/src/io/rate-limiter.ts
@@ -5,7 +5,7 @@
 
 export type Urgency = 0 | 1 | 2 | 3;
 /** Sessions and leadership, then what users' requests wait for, then what is over, then starts. */
-export const URGENT: Record<'session' | 'users' | 'results' | 'starts', Urgency> = {
+export const URGENCY: Record<'session' | 'users' | 'results' | 'starts', Urgency> = {
   session: 0,
   users: 1,
   results: 2,
@@ -29,7 +29,7 @@
   readonly low: number;
 }
 
-export class Pacer {
+export class RateLimiter {
   /** What is taken now of the whole budget: between this process's fair part and nearly all of it. */
   private factor = 1;
   private requests: number;
--- /dev/null
+++ b/src/io/state/client.ts
@@ -0,0 +1,210 @@
+/** The client of the state service: paced requests, leases, transactions, listings and the watch. */
+import type { Clock } from '../../core/clock.js';
+import { WATCHED_PREFIX } from '../../core/keys.js';
+import { NO_VERSION, type Revision, type Version } from '../../core/types.js';
+import type { Change } from '../../core/view.js';
+import type { Method, Reply, Transport } from '../http.js';
+import { RateLimiter, URGENCY, type Urgency } from '../rate-limiter.js';
+import * as wire from '../wire.js';
+import type { Guard, Op } from '../wire.js';
+import { Usage } from './usage.js';
+
+export interface StateSettings {
+  readonly rps: number;
+  readonly writeRps: number;
+  /** What the rates may fall to, without notice. */
+  readonly lowRps: number;
+  readonly lowWriteRps: number;
+  readonly txnOps: number;
+  readonly valueBytes: number;
+  readonly nodes: number;
+}
+
+/** 'unknown': no answer came; it may have been carried out or may yet be. */
+export type TxnResult =
+  | { readonly kind: 'ok'; readonly rev: Revision }
+  | { readonly kind: 'conflict'; readonly rev: Revision; readonly failed: readonly string[] }
+  | { readonly kind: 'no_lease' }
+  | { readonly kind: 'refused' }
+  /** Malformed or above a limit: sent again, it would be rejected again. */
+  | { readonly kind: 'rejected' }
+  /** Not sent: its guards had failed already when its turn came. */
+  | { readonly kind: 'stale' }
+  | { readonly kind: 'unknown' };
+
+export class Unavailable extends Error {}
+
+const TIMEOUT_MS = 2000;
+
+export class StateClient {
+  private readonly limiter: RateLimiter;
+  /** When the newest answered request was sent: the state was in reach then. */
+  contactAt = Number.NEGATIVE_INFINITY;
+  /** When the service last refused or failed to answer. */
+  failedAt = Number.NEGATIVE_INFINITY;
+  readonly usage = new Usage();
+
+  constructor(
+    readonly settings: StateSettings,
+    readonly clock: Clock,
+    private readonly http: Transport,
+    /** Apart from the others, since a watch holds its connection. */
+    private readonly watchHttp: Transport,
+    /** Told of each transaction that the service rejects for good. */
+    private readonly rejected: (ops: readonly Op[], answer: unknown) => void = () => undefined,
+  ) {
+    this.limiter = new RateLimiter(
+      { high: (settings.rps / settings.nodes) * 0.9, low: (settings.lowRps / settings.nodes) * 0.9 },
+      {
+        high: (settings.writeRps / settings.nodes) * 0.95,
+        low: (settings.lowWriteRps / settings.nodes) * 0.95,
+      },
+      200,
+      Math.max(1, settings.nodes * 0.8),
+      clock,
+    );
+  }
+
+  private async call(
+    method: Method,
+    path: string,
+    body: unknown,
+    urgency: Urgency,
+    writes = 0,
+    stale: () => boolean = () => false,
+  ): Promise<Reply | 'refused' | 'stale' | 'unknown'> {
+    if (!(await this.limiter.take(urgency, writes))) return 'refused';
+    if (stale()) {
+      this.limiter.giveBack(writes);
+      return 'stale';
+    }
+    const sent = this.clock.now();
+    this.usage.requests++;
+    try {
+      const r = await this.http.request(method, path, body, TIMEOUT_MS);
+      if (r.status === 429) {
+        this.usage.limited++;
+        this.limiter.drained(writes);
+        return 'refused';
+      }
+      if (r.status === 503) {
+        this.usage.refused++;
+        this.failedAt = this.clock.now();
+        return 'refused';
+      }
+      this.contactAt = Math.max(this.contactAt, sent);
+      return r;
+    } catch {
+      this.usage.lost++;
+      this.failedAt = this.clock.now();
+      return 'unknown';
+    }
+  }
+
+  /** There is budget left for what could also be written later. */
+  get spare(): boolean {
+    return this.limiter.idle;
+  }
+
+  writesWithin(ms: number): number {
+    return this.limiter.within(ms);
+  }
+
+  /** True where nothing since the last answer suggests that the service is out of reach. */
+  reachable(withinMs: number): boolean {
+    return this.contactAt > this.failedAt || this.clock.now() - this.contactAt < withinMs;
+  }
+
+  async get(k: string, urgency: Urgency): Promise<{ value: unknown; version: Version }> {
+    const r = await this.call('GET', `${wire.paths.kv}/${k}`, undefined, urgency);
+    if (typeof r === 'string') throw new Unavailable(k);
+    if (r.status === 404) return { value: undefined, version: NO_VERSION };
+    if (r.status !== 200) throw new Unavailable(`${k}: ${r.status}`);
+    return wire.entryFromWire(r.body);
+  }
+
+  async txn(
+    guards: readonly Guard[],
+    ops: readonly Op[],
+    urgency: Urgency,
+    stale?: () => boolean,
+  ): Promise<TxnResult> {
+    const body = wire.txnToWire(guards, ops);
+    const r = await this.call('POST', wire.paths.txn, body, urgency, ops.length, stale);
+    if (typeof r === 'string') return { kind: r };
+    if (r.status === 200) {
+      for (const o of ops) this.usage.wrote(o.reason ?? 'other');
+      return { kind: 'ok', rev: wire.revisionFromWire(r.body) };
+    }
+    if (r.status === 409) this.usage.conflicted += ops.length;
+    if (r.status === 409)
+      return { kind: 'conflict', rev: wire.revisionFromWire(r.body), failed: wire.failedFromWire(r.body) };
+    if (r.status === 400 && ops.some((o) => o.lease !== undefined)) return { kind: 'no_lease' };
+    if (r.status === 400) {
+      this.rejected(ops, r.body);
+      return { kind: 'rejected' };
+    }
+    throw new Error(`transaction: ${r.status} ${JSON.stringify(r.body)}`);
+  }
+
+  /** The service's present revision: whatever was committed before the call is at or below it. */
+  async present(urgency: Urgency): Promise<Revision> {
+    const r = await this.txn([], [], urgency);
+    if (r.kind !== 'ok') throw new Unavailable('present');
+    return r.rev;
+  }
+
+  async grant(ttlMs: number): Promise<number> {
+    const r = await this.call('POST', wire.paths.leases, wire.leaseToWire(ttlMs), URGENCY.session);
+    if (typeof r === 'string' || r.status !== 200) throw new Unavailable('grant');
+    return wire.leaseFromWire(r.body);
+  }
+
+  /** True: renewed; false: the lease is over. */
+  async renew(lease: number): Promise<boolean> {
+    const r = await this.call('POST', `${wire.paths.leases}/${lease}/touch`, undefined, URGENCY.session);
+    if (typeof r === 'string') throw new Unavailable('renew');
+    if (r.status === 404) return false;
+    if (r.status !== 200) throw new Unavailable(`renew: ${r.status}`);
+    return true;
+  }
+
+  async revoke(lease: number): Promise<void> {
+    const r = await this.call('DELETE', `${wire.paths.leases}/${lease}`, undefined, URGENCY.session);
+    if (typeof r === 'string') throw new Unavailable('revoke');
+  }
+
+  /** Reads everything below the root; the first page's revision is where the watch must begin. */
+  async list(): Promise<{ rows: Change[]; from: Revision; upTo: Revision }> {
+    const rows: Change[] = [];
+    let from: Revision | null = null;
+    let after: string | null = null;
+    for (;;) {
+      const r = await this.call(
+        'GET',
+        wire.paths.kv + wire.listKeysQuery(WATCHED_PREFIX, after),
+        undefined,
+        URGENCY.session,
+      );
+      if (typeof r === 'string' || r.status !== 200) throw new Unavailable('list');
+      const page = wire.rowsFromWire(r.body);
+      from ??= page.rev;
+      rows.push(...page.rows);
+      if (!page.more || page.rows.length === 0) return { rows, from, upTo: page.rev };
+      after = page.rows[page.rows.length - 1]!.key;
+    }
+  }
+
+  /** One wait for changes. Null: the revision is too old, list again. */
+  async follow(from: Revision, waitMs: number): Promise<{ events: Change[]; rev: Revision } | null> {
+    if (!(await this.limiter.take(URGENCY.session, 0))) throw new Unavailable('watch');
+    const path = wire.paths.watch + wire.watchQuery(WATCHED_PREFIX, from, waitMs);
+    const r = await this.watchHttp.request('GET', path, undefined, waitMs + TIMEOUT_MS);
+    if (r.status === 410) return null;
+    if (r.status !== 200) {
+      if (r.status === 429) this.limiter.drained(0);
+      throw new Unavailable(`watch: ${r.status}`);
+    }
+    return wire.eventsFromWire(r.body);
+  }
+}
--- /dev/null
+++ b/src/io/state/usage.ts
@@ -0,0 +1,40 @@
+/** What a controller asks of the state service: counts for operators, and for finding out where the write budget goes. */
+
+/** Why a change is written. */
+export type WriteReason =
+  | 'submission'
+  | 'end'
+  | 'results'
+  | 'cancellation'
+  | 'start'
+  | 'preemption'
+  | 'machine_state'
+  | 'tidying'
+  | 'move'
+  | 'return'
+  | 'rental'
+  | 'membership'
+  | 'settling'
+  | 'other';
+
+/** Counts since the process began. */
+export class Usage {
+  requests = 0;
+  /** Requests above the rate (429), refused (503) and without an answer. */
+  limited = 0;
+  refused = 0;
+  lost = 0;
+  /** Changes in transactions whose guards failed: they cost as much as those that were made. */
+  conflicted = 0;
+  private readonly written = new Map<WriteReason, number>();
+
+  wrote(reason: WriteReason): void {
+    this.written.set(reason, (this.written.get(reason) ?? 0) + 1);
+  }
+
+  /** The counts as they are logged. */
+  snapshot() {
+    const { requests, limited, refused, lost, conflicted } = this;
+    return { requests, limited, refused, lost, conflicted, written: Object.fromEntries(this.written) };
+  }
+}
--- a/src/io/users.ts
+++ b/src/io/users.ts
@@ -4,14 +4,14 @@
 import { Admission } from '../core/admission.js';
 import { jobId, steady } from '../core/types.js';
 import type { Cancelled, Jobs } from '../controller/jobs.js';
-import type { Reports } from '../controller/reports.js';
-import { Unavailable } from './state.js';
+import type { ReportRouter } from '../controller/report-router.js';
+import { Unavailable } from './state/client.js';
 import * as wire from './wire.js';
 
 export interface ServerOptions {
   readonly log: Logger;
   readonly jobs: Jobs;
-  readonly reports: Reports;
+  readonly reports: ReportRouter;
   readonly healthy: () => boolean;
   readonly status: () => object;
   readonly maxConnections: number;
@@ -81,7 +81,7 @@
     if (r.kind === 'later') return reply.code(503).header('retry-after', '1').send(later);
     if (r.kind === 'impossible') return reply.code(422).send({ error: r.why });
     const id = jobId((req.body as { nameId: string }).nameId);
-    return reply.code(r.kind === 'accepted' ? 201 : 200).send(wire.acceptedToWire(id, r.standing));
+    return reply.code(r.kind === 'accepted' ? 201 : 200).send(wire.acceptedToWire(id, r.state));
   });
 
   app.get<{ Params: { id: string } }>(wire.paths.job, async (req, reply) => {
@@ -90,7 +90,7 @@
     const r = await admitted(async () => ({ found: await o.jobs.find(id) }));
     if (r === null) return reply.code(429).header('retry-after', '1').send(later);
     if (r.found === undefined) return reply.code(404).send({ error: 'no such job' });
-    return reply.send(wire.statusToWire(id, r.found.standing, r.found.done, r.found.running, r.found.needs));
+    return reply.send(wire.statusToWire(id, r.found.state, r.found.done, r.found.running, r.found.needs));
   });
 
   app.post<{ Params: { id: string } }>(wire.paths.cancel, async (req, reply) => {
@@ -100,7 +100,7 @@
     const r: Cancelled = await o.jobs.cancel(id);
     if (r.kind === 'not_found') return reply.code(404).send({ error: 'no such job' });
     if (r.kind === 'later') return reply.code(503).header('retry-after', '1').send(later);
-    return reply.send(wire.acceptedToWire(id, r.standing));
+    return reply.send(wire.acceptedToWire(id, r.state));
   });
 
   app.get(wire.paths.health, async (_req, reply) => {
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -16,6 +16,7 @@
   type ExitWhy,
   type JobId,
   type JobSpec,
+  type JobState,
   type Kind,
   type MachineName,
   type MachineType,
@@ -30,6 +31,7 @@
   type Zone,
 } from '../core/types.js';
 import type { Change } from '../core/view.js';
+import type { WriteReason } from './state/usage.js';
 
 export const paths = {
   jobs: '/v1/jobs',
@@ -119,19 +121,18 @@
   };
 }
 
-export type Standing = 'pending' | 'running' | 'done' | 'cancelled';
 const STANDING = { pending: 'pending', running: 'running', done: 'done', cancelled: 'withdrawn' };
-export const acceptedToWire = (id: JobId, s: Standing) => ({ nameId: id, standing: STANDING[s] });
+export const acceptedToWire = (id: JobId, state: JobState) => ({ nameId: id, standing: STANDING[state] });
 /** What a job still waits for is told beside what the protocol asks for. */
 export const statusToWire = (
   id: JobId,
-  s: Standing,
+  state: JobState,
   done: number,
   running: number,
   needs: readonly JobId[] = [],
 ) => ({
   nameId: id,
-  standing: STANDING[s],
+  standing: STANDING[state],
   done,
   running,
   ...(needs.length === 0 ? {} : { awaits: needs.slice(0, MOST_NEEDS_TOLD) }),
@@ -277,6 +278,8 @@
   /** Undefined: delete. */
   readonly value: unknown;
   readonly lease?: number;
+  /** Why it is written; only counted. */
+  readonly reason?: WriteReason;
 }
 export interface Guard {
   readonly key: string;
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -8,7 +8,7 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import type { Jobs } from '../src/controller/jobs.js';
-import type { Reports } from '../src/controller/reports.js';
+import type { ReportRouter } from '../src/controller/report-router.js';
 import { buildServer } from '../src/io/users.js';
 import { submission } from './samples.js';
 
@@ -24,17 +24,17 @@
   const jobs = {
     submit: (spec: { id: string }) => {
       known.add(spec.id);
-      return Promise.resolve({ kind: 'accepted', standing: 'pending' });
+      return Promise.resolve({ kind: 'accepted', state: 'pending' });
     },
     find: (id: string) =>
-      Promise.resolve(known.has(id) ? { standing: 'running', done: 1, running: 2 } : undefined),
+      Promise.resolve(known.has(id) ? { state: 'running', done: 1, running: 2 } : undefined),
     cancel: (id: string) =>
-      Promise.resolve(known.has(id) ? { kind: 'final', standing: 'cancelled' } : { kind: 'not_found' }),
+      Promise.resolve(known.has(id) ? { kind: 'final', state: 'cancelled' } : { kind: 'not_found' }),
   };
   const app = buildServer({
     log: pino({ level: 'silent' }),
     jobs: jobs as unknown as Jobs,
-    reports: {} as Reports,
+    reports: {} as ReportRouter,
     healthy: () => true,
     status: () => ({ leader: 'c-0' }),
     maxConnections: 20,
--- a/test/commit.test.ts
+++ b/test/commit.test.ts
@@ -3,8 +3,10 @@
 import { test } from 'node:test';
 import { View } from '../src/core/view.js';
 import type { Reply, Transport } from '../src/io/http.js';
-import { Follower, StateClient, commit, commitAll, pack } from '../src/io/state.js';
-import { URGENT } from '../src/io/pacer.js';
+import { StateClient } from '../src/io/state/client.js';
+import { Follower } from '../src/io/state/follower.js';
+import { commit, commitAll, pack } from '../src/io/state/transactions.js';
+import { URGENCY } from '../src/io/rate-limiter.js';
 import { version } from '../src/core/types.js';
 import { StateService } from './sim/state.js';
 import { ProcessClock, World } from './sim/world.js';
@@ -74,7 +76,7 @@
     assert.ok(before > 0);
     let outcome: string | null = null;
     const op = { key: 'p/m/n-1', value: { n: 1 } };
-    void commit(client, follower, [{ key: op.key, version: before }], [op], URGENT.starts).then((r) => {
+    void commit(client, follower, [{ key: op.key, version: before }], [op], URGENCY.starts).then((r) => {
       outcome = r;
       assert.equal(view.versionOf(op.key), state.rows.get(op.key)!.rev, 'it goes on with an old view');
     });
@@ -133,7 +135,7 @@
   // Overtaken while the budget made it wait.
   const before = state.counts.requests;
   const guard = { key: 'p/m/3', version: version(0) };
-  const outcome = await commit(client, follower, [guard], [{ key: guard.key, value: {} }], URGENT.starts);
+  const outcome = await commit(client, follower, [guard], [{ key: guard.key, value: {} }], URGENCY.starts);
   assert.equal(outcome, 'conflict');
   await world.runUntil(world.now + 5000);
   assert.equal(state.counts.requests, before, 'no request was made for it');
@@ -148,7 +150,7 @@
   }));
   const written = () => [...state.rows.keys()].filter((k) => /^p.m.\d+$/.test(k)).length;
   let all: boolean | null = null;
-  void commitAll(client, follower, groups, URGENT.starts).then((r) => {
+  void commitAll(client, follower, groups, URGENCY.starts).then((r) => {
     all = r;
   });
   await world.runUntil(world.now + 2);
@@ -163,7 +165,7 @@
     guards: [{ key: `p/m/${100 + i}`, version: version(0) }],
   }));
   all = null;
-  void commitAll(client, follower, rest, URGENT.starts, 25).then((r) => {
+  void commitAll(client, follower, rest, URGENCY.starts, 25).then((r) => {
     all = r;
   });
   while (all === null && world.now < 40_000) await world.runUntil(world.now + 50);
--- a/test/dependencies.test.ts
+++ b/test/dependencies.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { bytesOf } from '../src/core/records.js';
 import { jobId } from '../src/core/types.js';
-import { key } from '../src/core/view.js';
+import { key } from '../src/core/keys.js';
 import {
   accepted,
   answered,
@@ -59,11 +59,11 @@
   const off = await accepted(sim, [], 30);
   const fields = { nameId: 'wk-dependent', awaits: [quick, off] };
   assert.equal((await submitTo(sim, 'c-0', fields)).kind, 'accepted');
-  const repeats = async (standing: string) => {
+  const repeats = async (state: string) => {
     for (const node of controllers(sim))
       for (const awaits of [[quick, off], [], undefined, ['wk-never'], ['wk-dependent']]) {
         const r = await submitTo(sim, node, { ...fields, awaits });
-        assert.deepEqual(r, { kind: 'known', standing }, `${node}: ${JSON.stringify(awaits)}`);
+        assert.deepEqual(r, { kind: 'known', state }, `${node}: ${JSON.stringify(awaits)}`);
       }
   };
   await repeats('pending');
@@ -89,7 +89,7 @@
   for (const node of controllers(sim))
     assert.deepEqual(await submitTo(sim, node, { nameId: ids[0], flavors }), {
       kind: 'known',
-      standing: 'done',
+      state: 'done',
     });
   // One that was not accepted can't be stored any more.
   const refused = await submitTo(sim, 'c-0', { nameId: 'wk-large3', flavors });
@@ -169,7 +169,7 @@
   await wait(sim, 500);
   for (const n of sim.nodes.values()) n.start();
   await wait(sim, 6000);
-  const reads = [...sim.nodes.values()].map((n) => n.controller!.ctx.finals.reads);
+  const reads = [...sim.nodes.values()].map((n) => n.controller!.ctx.finalStates.reads);
   for (const n of reads) assert.ok(n <= 60, `${n} final states read`);
   assert.equal(waiting.filter(waits).length, 300, 'they wait on');
   assert.equal(waiting.filter((id) => job(sim, id).doneTasks.size > 0).length, 0);
@@ -181,14 +181,14 @@
   for (let i = 0; i < 6; i++)
     await accepted(sim, [head], 40, { tenant: 'red', cards: 4, vcpus: 16, tier: 'production' });
   const { controller } = sim.nodes.get('c-0')!;
-  const startable = () => controller!.ctx.needs.all().startable;
+  const startable = () => controller!.ctx.dependencies.all().startable;
   assert.ok(startable().every((j) => j.spec.needs === undefined));
   // Of the same team, of less priority, and behind them in its team's order: it goes at once.
   const small = await accepted(sim, [], 1, { tenant: 'red', cards: 1, tier: 'low' });
   await until(sim, () => job(sim, small).toldFinal === 'done', 30_000);
   for (const n of sim.nodes.values())
     for (const [id, j] of n.controller!.ctx.view.jobs)
-      if (j.spec.needs !== undefined) assert.equal(n.controller!.owner.passed.get(id), undefined);
+      if (j.spec.needs !== undefined) assert.equal(n.controller!.owner.waitReasons.get(id), undefined);
 });
 
 test('jobs that the version before accepted, ended and cancelled may be named once all are new', async () => {
--- a/test/needs.test.ts
+++ b/test/dependency-rules.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { NONE_DONE } from '../src/core/jobs.js';
-import { dependencies, judgeNeeds, type DependencyInput } from '../src/core/needs.js';
+import { judgeDependencies, judgeNeeds, type DependencyInput } from '../src/core/dependencies.js';
 import { jobId, wallMs, type FinalRecord, type JobId, type JobRecord } from '../src/core/types.js';
 import { jobFromWire } from '../src/io/wire.js';
 import { submission } from './samples.js';
@@ -35,7 +35,7 @@
   ...(at === undefined ? {} : { at: wallMs(at) }),
 });
 const cancelled: FinalRecord = { state: 'cancelled', done: 0 };
-const startable = (i: DependencyInput) => dependencies(i).startable.map((j) => j.spec.id as string);
+const startable = (i: DependencyInput) => judgeDependencies(i).startable.map((j) => j.spec.id as string);
 
 test('no needs, an empty list and null are the same; repeated ids count once', () => {
   for (const awaits of [undefined, null, []])
@@ -56,16 +56,19 @@
   const i = input([b], { 'wk-a': done(900), 'wk-x': done(400) });
   assert.deepEqual(startable(i), ['wk-b']);
   // Its own times count from then.
-  assert.equal(dependencies(i).startable[0]!.submitted, 900);
+  assert.equal(judgeDependencies(i).startable[0]!.submitted, 900);
   // Versions before pipelines wrote no time.
-  assert.equal(dependencies(input([b], { 'wk-a': done(), 'wk-x': done() })).startable[0]!.submitted, 100);
+  assert.equal(
+    judgeDependencies(input([b], { 'wk-a': done(), 'wk-x': done() })).startable[0]!.submitted,
+    100,
+  );
 });
 
 test('a cancelled job takes with it all that need it, through any depth, and none that it needs', () => {
   const depth = 5000;
   const chain = [...Array(depth).keys()].map((i) => record(`wk-${i + 1}`, [`wk-${i}`]));
   const before = record('wk-before', []);
-  const d = dependencies(input([...chain.reverse(), before], { 'wk-0': cancelled }));
+  const d = judgeDependencies(input([...chain.reverse(), before], { 'wk-0': cancelled }));
   assert.equal([...d.of.values()].filter((x) => x.kind === 'withdrawn').length, depth);
   assert.deepEqual(
     d.startable.map((j) => j.spec.id),
@@ -78,16 +81,16 @@
   const b = record('wk-b', ['wk-a'], { tier: 'low' });
   const c = record('wk-c', ['wk-b'], { tier: 'urgent', dueS: 60 }, 5000);
   const other = record('wk-d', ['wk-a'], { tier: 'standard', dueS: 30 }, 4000);
-  const [first] = dependencies(input([a, b, c, other], {}, 10_000)).startable;
+  const [first] = judgeDependencies(input([a, b, c, other], {}, 10_000)).startable;
   assert.equal(first!.spec.id, 'wk-a');
   assert.equal(first!.spec.priority, 'high');
   // By wk-d's deadline: 34 s less its own 10 s; by wk-c's: 65 s less 20 s.
   assert.equal(first!.submitted + first!.spec.deadlineS! * 1000, 24_000);
   // Without the last job nobody has a deadline.
-  assert.equal(dependencies(input([a, b], {}, 10_000)).startable[0]!.spec.deadlineS, null);
+  assert.equal(judgeDependencies(input([a, b], {}, 10_000)).startable[0]!.spec.deadlineS, null);
   // One that was called off asks for nothing.
   const off = { ...c, phase: 'cancelling' as const };
-  assert.equal(dependencies(input([a, b, off], {}, 10_000)).startable[0]!.spec.priority, 'low');
+  assert.equal(judgeDependencies(input([a, b, off], {}, 10_000)).startable[0]!.spec.priority, 'low');
 });
 
 test('whatever the graph and whatever is over: what may start, waits or is withdrawn follows from its needs', () => {
@@ -115,7 +118,7 @@
           }
         });
         if (shuffled) jobs.reverse();
-        const d = dependencies(input(jobs, finals));
+        const d = judgeDependencies(input(jobs, finals));
         const may = new Set(d.startable.map((j) => j.spec.id as string));
         for (const j of jobs) {
           const needs = (j.spec.needs ?? []) as readonly JobId[];
@@ -137,7 +140,7 @@
   const wide = [...Array(800).keys()].map((i) => record(`wk-w${i}`, ['wk-0']));
   let reads = 0;
   const i = input([record('wk-0', []), ...wide]);
-  dependencies({
+  judgeDependencies({
     ...i,
     final: () => {
       reads++;
@@ -146,7 +149,7 @@
   });
   assert.equal(reads, 0, 'what is unfinished is in the view');
   assert.deepEqual(
-    dependencies(i).startable.map((j) => j.spec.id),
+    judgeDependencies(i).startable.map((j) => j.spec.id),
     [jobId('wk-0')],
   );
 });
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -5,7 +5,8 @@
 import type { Context } from '../src/controller/context.js';
 import { Health } from '../src/controller/health.js';
 import { jobId, version, type Report } from '../src/core/types.js';
-import { View, key } from '../src/core/view.js';
+import { key } from '../src/core/keys.js';
+import { View } from '../src/core/view.js';
 import { jobFromWire, reportFromWire } from '../src/io/wire.js';
 import { machine, submission, type } from './samples.js';
 
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -350,5 +350,5 @@
   await wait(sim, 8000);
   for (const { id } of found) assert.notEqual(sim.fleet.submitted.get(id)!.toldFinal, null, id);
   const final = await sim.nodes.get('c-0')!.controller!.jobs.find(jobId(ids[0]!));
-  assert.ok(final?.standing === 'cancelled' || final?.standing === 'done');
+  assert.ok(final?.state === 'cancelled' || final?.state === 'done');
 });
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { jobId } from '../src/core/types.js';
 import { bytesOf } from '../src/core/records.js';
-import { key } from '../src/core/view.js';
+import { key } from '../src/core/keys.js';
 import { jobFromWire } from '../src/io/wire.js';
 import { submission } from './samples.js';
 import { begun, job, one, until, wait, withdrawn } from './sim/pipelines.js';
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -154,7 +154,7 @@
   const place = (jobs: JobRecord[], machines: MachineRecord[]) => pass(jobs, machines, {}, limited);
   const held = place([running, gang, small], slice);
   assert.equal(held.placements.length, 0);
-  assert.equal(held.passed.get(small.spec.id), 'behind_gang');
+  assert.equal(held.waitReasons.get(small.spec.id), 'behind_gang');
   // A job that has waited for long goes all the same; it must not count as neglected beside free room.
   const late = pass([running, gang, small], slice, { overdue: (j) => j.spec.id === small.spec.id }, limited);
   assert.equal(late.placements.length, 3);
@@ -179,7 +179,7 @@
   const small = job('wk-3', { shards: 8, tenant: 'blue', tier: 'standard' });
   const service = job('wk-4', { shape: 'daemon', shards: 1, tier: 'production', tenant: 'blue' });
   const slice = [machine('n-1', []), machine('n-2', []), machine('n-3', [], 'b')];
-  assert.equal(pass([gang, small], slice).passed.get(gang.spec.id), 'no_room');
+  assert.equal(pass([gang, small], slice).waitReasons.get(gang.spec.id), 'no_room');
   const first = pass([gang, later], slice);
   assert.equal(first.placements.length, 0, 'two gangs never take what the first one waits for');
   const red = pass([gang, job('wk-5', { shards: 8, tier: 'standard' })], slice);
--- a/test/pacer.test.ts
+++ b/test/rate-limiter.test.ts
@@ -1,26 +1,26 @@
 // The part of a shared budget that one process takes, in virtual time.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Pacer, URGENT } from '../src/io/pacer.js';
+import { RateLimiter, URGENCY } from '../src/io/rate-limiter.js';
 import { ProcessClock, World } from './sim/world.js';
 
 /** A process whose part of both budgets does not fall, and which may borrow so many times that part. */
 const fixed = (world: World, spare: number) =>
-  new Pacer({ high: 60, low: 60 }, { high: 12, low: 12 }, 200, spare, new ProcessClock(world, 1, 0));
+  new RateLimiter({ high: 60, low: 60 }, { high: 12, low: 12 }, 200, spare, new ProcessClock(world, 1, 0));
 
 test('reads and users never wait behind bulk changes, and nothing goes beyond the budget', async () => {
   const world = new World(1);
-  const pacer = fixed(world, 1);
+  const limiter = fixed(world, 1);
   const took = { bulk: 0, users: [] as number[], reads: [] as number[] };
   // A wave: far more changes than the budget has for a minute.
   for (let i = 0; i < 100; i++)
-    void pacer.take(URGENT.starts, 8).then(() => {
+    void limiter.take(URGENCY.starts, 8).then(() => {
       took.bulk += 8;
     });
   const asks = () => {
     const at = world.now;
-    void pacer.take(URGENT.users, 1).then(() => took.users.push(world.now - at));
-    void pacer.take(URGENT.users, 0).then(() => took.reads.push(world.now - at));
+    void limiter.take(URGENCY.users, 1).then(() => took.users.push(world.now - at));
+    void limiter.take(URGENCY.users, 0).then(() => took.reads.push(world.now - at));
     if (world.now < 29_000) world.after(500, asks);
   };
   world.after(2000, asks);
@@ -35,17 +35,17 @@
 
 test('a refusal for changes stops changes and not reads', async () => {
   const world = new World(1);
-  const pacer = fixed(world, 3);
+  const limiter = fixed(world, 3);
   await world.runUntil(10_000);
-  assert.equal(pacer.idle, true);
-  pacer.drained(1);
-  assert.equal(pacer.idle, false, 'others wait for the budget, even where this process has enough');
+  assert.equal(limiter.idle, true);
+  limiter.drained(1);
+  assert.equal(limiter.idle, false, 'others wait for the budget, even where this process has enough');
   let read = false;
   let wrote = false;
-  void pacer.take(URGENT.results, 6).then(() => {
+  void limiter.take(URGENCY.results, 6).then(() => {
     wrote = true;
   });
-  void pacer.take(URGENT.session, 0).then(() => {
+  void limiter.take(URGENCY.session, 0).then(() => {
     read = true;
   });
   await world.runUntil(world.now + 10);
@@ -60,7 +60,7 @@
   const low = 15;
   // A little less than all of it, as the client takes.
   const rate = { high: high * 0.95, low: low * 0.95 };
-  const pacer = new Pacer({ high: 100, low: 100 }, rate, 2000, 1, new ProcessClock(world, 1, 0));
+  const limiter = new RateLimiter({ high: 100, low: 100 }, rate, 2000, 1, new ProcessClock(world, 1, 0));
   // The service's bucket: it holds a second's worth of what it allows.
   let allowed = high;
   let tokens = high;
@@ -69,7 +69,7 @@
   let granted = 0;
   const send = async (): Promise<void> => {
     for (;;) {
-      if (!(await pacer.take(URGENT.starts, 2))) return;
+      if (!(await limiter.take(URGENCY.starts, 2))) return;
       tokens = Math.min(allowed, tokens + ((world.now - last) / 1000) * allowed);
       last = world.now;
       if (tokens >= 2) {
@@ -77,7 +77,7 @@
         granted += 2;
       } else {
         refused++;
-        pacer.drained(2);
+        limiter.drained(2);
       }
     }
   };
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -3,11 +3,11 @@
 import { test } from 'node:test';
 import { markDone } from '../src/core/jobs.js';
 import { Ledger } from '../src/core/ledger.js';
-import { dependencies } from '../src/core/needs.js';
+import { judgeDependencies } from '../src/core/dependencies.js';
 import { placedOf, withPlaced } from '../src/core/placement.js';
 import { stopped } from '../src/core/preemption.js';
 import { TASK_BYTES, bytesOf, entryBytes, partsWithin, slim } from '../src/core/records.js';
-import { commands, exits, newMemory, takeReport } from '../src/core/takeover.js';
+import { commands, exits, newMemory, takeReport } from '../src/core/worker-reports.js';
 import {
   attempt,
   jobId,
@@ -17,7 +17,8 @@
   version,
   type MachineRecord,
 } from '../src/core/types.js';
-import { View, key } from '../src/core/view.js';
+import { key } from '../src/core/keys.js';
+import { View } from '../src/core/view.js';
 import { jobFromWire, reportFromWire } from '../src/io/wire.js';
 import { machine, submission, type, types } from './samples.js';
 
@@ -54,7 +55,7 @@
   });
   const ledger = new Ledger(view.machines.values(), types, new Map());
   assert.equal(ledger.jobs.get(id)?.tasks.size, 3);
-  const d = dependencies({
+  const d = judgeDependencies({
     jobs: view.jobs,
     final: () => undefined,
     started: () => true,
@@ -66,7 +67,7 @@
     ...view.jobs.get(id)!,
     spec: { ...view.jobs.get(id)!.spec, id: jobId('wk-2'), needs: [jobId('wk-0')] },
   };
-  const after = dependencies({
+  const after = judgeDependencies({
     jobs: new Map([[next.spec.id, next]]),
     final: () => JSON.parse('{"state":"done","done":1}') as never,
     started: () => false,
--- a/test/sim.test.ts
+++ b/test/sim.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobId } from '../src/core/types.js';
-import { Unavailable } from '../src/io/state.js';
+import { Unavailable } from '../src/io/state/client.js';
 import { FLEET, GROWN, SMALL, Sim, quiet, type Size } from './sim/run.js';
 
 const only = process.env['SIM_SEED'];
@@ -77,15 +77,15 @@
   for (const node of sim.nodes.values()) {
     node.cut.add('state').add('peers');
     await sim.world.runUntil(sim.world.now + 12_000);
-    assert.equal(node.controller!.standing.healthy, false);
-    assert.equal(node.controller!.standing.holds, false);
+    assert.equal(node.controller!.availability.healthy, false);
+    assert.equal(node.controller!.availability.mayAnswerWorkers, false);
     const [open] = [...sim.fleet.submitted].find(([, j]) => j.accepted && j.toldFinal === null)!;
     await assert.rejects(node.controller!.jobs.find(jobId(open)), Unavailable);
     const served = sim.fleet.live().filter((w) => w.node === node.name);
     assert.equal(served.length, 0, `${served.length} workers still report to ${node.name}`);
     node.cut.clear();
     await sim.world.runUntil(sim.world.now + 8000);
-    assert.equal(node.controller!.standing.healthy, true);
+    assert.equal(node.controller!.availability.healthy, true);
   }
   assert.equal(sim.fleet.leasesLost, before.lost, 'no lease ran out');
   assert.ok(sim.fleet.starts > before.starts + 10);
@@ -96,7 +96,7 @@
   const before = sim.fleet.leasesLost;
   sim.state.setOutage(true);
   await sim.world.runUntil(sim.world.now + 20_000);
-  for (const node of sim.nodes.values()) assert.equal(node.controller!.standing.healthy, true);
+  for (const node of sim.nodes.values()) assert.equal(node.controller!.availability.healthy, true);
   sim.state.setOutage(false);
   await sim.world.runUntil(sim.world.now + 10_000);
   assert.equal(sim.fleet.leasesLost, before);
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -7,8 +7,8 @@
 import { Controller } from '../../src/controller/controller.js';
 import { jobId, nodeName, teamName, zoneName } from '../../src/core/types.js';
 import type { Reply, Transport } from '../../src/io/http.js';
-import { key } from '../../src/core/view.js';
-import { Unavailable } from '../../src/io/state.js';
+import { key } from '../../src/core/keys.js';
+import { Unavailable } from '../../src/io/state/client.js';
 import * as wire from '../../src/io/wire.js';
 import { submission } from '../samples.js';
 import { Fleet, type Limits, type Submitted, type Worker } from './fleet.js';
@@ -381,21 +381,21 @@
   /** A question and a repeated submission at once, to whatever controllers. */
   again(id: string): void {
     const job = this.fleet.submitted.get(id)!;
-    const tell = (standing: string | undefined) => {
-      if (standing !== undefined) this.told(id, job, standing);
+    const tell = (state: string | undefined) => {
+      if (state !== undefined) this.told(id, job, state);
     };
     const fail = (e: unknown) => {
       this.failed ??= e;
     };
     this.ask((c) => c.jobs.find(jobId(id)))
       .then((r) => {
-        tell(r?.standing);
+        tell(r?.state);
       })
       .catch(fail);
     this.ask((c) => c.jobs.submit(wire.jobFromWire(job.body as never)))
       .then((r) => {
         assert.ok(r?.kind !== 'accepted' && r?.kind !== 'impossible', `a retry of ${id} was ${r?.kind}`);
-        if (r?.kind === 'known') tell(r.standing);
+        if (r?.kind === 'known') tell(r.state);
       })
       .catch(fail);
   }
@@ -547,7 +547,7 @@
         if (r !== null && r.kind !== 'later') {
           assert.notEqual(r.kind, 'impossible', `forgotten: ${id} is possible and was refused`);
           job.accepted = true;
-          if (r.kind !== 'impossible') this.told(id, job, r.standing);
+          if (r.kind !== 'impossible') this.told(id, job, r.state);
         } else await world.sleep(500);
       }
       for (;;) {
@@ -557,13 +557,13 @@
         if (s === null) continue;
         job.answeredAt = world.now;
         assert.ok(s.found !== undefined, `forgotten: ${id}`);
-        this.told(id, job, s.found.standing);
+        this.told(id, job, s.found.state);
         if (world.chance(0.05)) {
           // A retry of the submission at any later time must be known still.
           const r = await this.ask((c) => c.jobs.submit(wire.jobFromWire(body as never)));
           if (r !== null && r.kind !== 'later') {
             assert.equal(r.kind, 'known', `a retry of ${id} was ${r.kind}`);
-            this.told(id, job, (r as { standing: string }).standing);
+            this.told(id, job, r.state);
           }
         }
       }
@@ -626,7 +626,7 @@
     job.asked = true;
     const r = await this.ask((c) => c.jobs.cancel(jobId(id)));
     assert.notEqual(r?.kind, 'not_found', `forgotten: ${id}`);
-    if (r?.kind === 'final') this.told(id, job, r.standing);
+    if (r?.kind === 'final') this.told(id, job, r.state);
   }
 
   /** Its user calls the job off and asks again until one of the finals is the answer. */
@@ -664,27 +664,27 @@
     return l === undefined ? undefined : this.nodes.get(l.node);
   }
 
-  private told(id: string, job: Submitted, standing: string): void {
+  private told(id: string, job: Submitted, state: string): void {
     this.answers++;
-    if (job.toldFinal !== null) assert.equal(standing, job.toldFinal, `went_back: ${id}`);
-    if (standing === 'pending' || standing === 'running') {
+    if (job.toldFinal !== null) assert.equal(state, job.toldFinal, `went_back: ${id}`);
+    if (state === 'pending' || state === 'running') {
       const from = this.fleet.cancelledFrom(id);
       assert.ok(
         this.world.now - from <= LIMITS.cancelS * 1000,
-        `orphaned: ${id} is ${standing}, and one that it needs was cancelled at ${from}`,
+        `orphaned: ${id} is ${state}, and one that it needs was cancelled at ${from}`,
       );
     }
-    if (standing === 'done') {
+    if (state === 'done') {
       assert.equal(
         job.doneTasks.size,
         job.tasks,
         `not_done: ${id} has ${job.doneTasks.size} of ${job.tasks} done`,
       );
-      job.toldFinal = standing;
+      job.toldFinal = state;
     }
-    if (standing === 'cancelled') {
+    if (state === 'cancelled') {
       assert.ok(this.fleet.calledOff(id), `went_back: ${id} was cancelled by nobody`);
-      job.toldFinal = standing;
+      job.toldFinal = state;
       job.toldCancelledAt ??= this.world.now;
     }
   }
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -4,9 +4,9 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import type { Jobs, Submitted } from '../src/controller/jobs.js';
-import type { Reports } from '../src/controller/reports.js';
+import type { ReportRouter } from '../src/controller/report-router.js';
 import { token } from '../src/core/types.js';
-import { Unavailable } from '../src/io/state.js';
+import { Unavailable } from '../src/io/state/client.js';
 import { buildServer } from '../src/io/users.js';
 import { submission } from './samples.js';
 
@@ -15,7 +15,7 @@
   const jobs = {
     submit: (spec: { id: string }) => {
       seen.push(spec.id);
-      return Promise.resolve<Submitted>({ kind: 'accepted', standing: 'pending' });
+      return Promise.resolve<Submitted>({ kind: 'accepted', state: 'pending' });
     },
     find: () => Promise.resolve(undefined),
     cancel: () => Promise.resolve({ kind: 'not_found' }),
@@ -25,7 +25,7 @@
   const app = buildServer({
     log: pino({ level: 'silent' }),
     jobs: jobs as unknown as Jobs,
-    reports: reports as unknown as Reports,
+    reports: reports as unknown as ReportRouter,
     healthy: () => true,
     status: () => ({}),
     maxConnections: 10,
@@ -53,7 +53,7 @@
 
 test("the README's example is a valid submission, and what a job waits for is shown", async () => {
   const { app, seen } = server({
-    find: () => Promise.resolve({ standing: 'pending', done: 0, running: 0, needs: ['wk-000412'] }),
+    find: () => Promise.resolve({ state: 'pending', done: 0, running: 0, needs: ['wk-000412'] }),
   });
   const example = /\{"nameId"[^}]*\}/.exec(readFileSync('README.md', 'utf8'))?.[0];
   assert.ok(example !== undefined);
@@ -169,7 +169,7 @@
       submit: () =>
         new Promise((resolve) => {
           go = () => {
-            resolve({ kind: 'accepted', standing: 'pending' });
+            resolve({ kind: 'accepted', state: 'pending' });
           };
         }),
     },
--- a/test/takeover.test.ts
+++ b/test/worker-reports.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { Ledger } from '../src/core/ledger.js';
 import { placedOf } from '../src/core/placement.js';
-import { commands, exits, newMemory, takeReport } from '../src/core/takeover.js';
+import { commands, exits, newMemory, takeReport } from '../src/core/worker-reports.js';
 import {
   attempt,
   jobId,
