Tasks of an array go to machines whose records the pass writes in any case

Change: of those that fit alike, and after the image, one whose record the pass writes in any case; not for replicas. The test fails without it.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -36,6 +36,9 @@
 const HEAD_START_MS = 800;
 const MOST_HEAD_START_MS = 80_000;
 
+/** What a further record to write counts among machines that are alike otherwise: less than a fetch rank. */
+const WRITE_TIE = 0.5;
+
 /** The highest fetch rank: the machine is fetching other images, which share its rate. */
 export const BUSY_FETCHING = 3;
 
@@ -174,13 +177,17 @@
       // shape and not at size, and would else put something small on every machine that a gang needs whole.
       // Of the empty ones, those go first that fewer jobs may use.
       const empty = room.used + n === 0;
-      // Among machines whose shape fits alike: one that has the image.
-      const tie = rankOf(room, spec.image);
+      // Among machines whose shape fits alike: one that has the image, and of those one whose record this pass writes in
+      // any case. H changes with each task, so that by H alone the tasks of an array went to a machine each, and each
+      // start was a change of its own. Replicas of a service are better off apart.
+      const rank = rankOf(room, spec.image);
+      const written = room.entries.size > 0 || n > 0;
+      const tie = rank + (written || spec.kind === 'service' ? 0 : WRITE_TIE);
       // Where nobody needs whole machines, an empty one is better than one that is busy fetching other images.
       // Work that may use spot machines leaves the others to work that may not, while it has a choice.
       if (empty && yielding && !m.spot) continue;
       const tier =
-        (spec.spot && !m.spot ? 8 : 0) + (empty ? (input.keepWhole ? 4 : 1) : tie === BUSY_FETCHING ? 2 : 0);
+        (spec.spot && !m.spot ? 8 : 0) + (empty ? (input.keepWhole ? 4 : 1) : rank === BUSY_FETCHING ? 2 : 0);
       const better =
         best === null ||
         tier < bestTier ||
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -115,6 +115,24 @@
   assert.equal(choose(wanted, [service], [machine('n-1', [on(service, 0, 1, 2, 3)])]), null);
 });
 
+test('the tasks of an array share machines that fit alike, so that few records are written', () => {
+  const busy = job('wk-1', { shards: 9, tenant: 'blue', cards: 4, vcpus: 4 });
+  const slice = [0, 1, 2, 3, 4, 5].map((i) => machine(`n-${i}`, [on(busy, i)]));
+  const array = job('wk-2', { shards: 12, cards: 0, vcpus: 1, memoryGb: 6 });
+  const cached = (m: MachineRecord) => (m.name === 'n-4' || m.name === 'n-5' ? 0 : 2);
+  const used = (fetchRank: ScheduleInput['fetchRank'], wanted = array) =>
+    new Set(
+      pass([wanted], slice, { hSlack: 0.6, fetchRank }).placements.map((p) => p.machine.name as string),
+    );
+  // Eight of them fit on one of the machines, and all have the image.
+  assert.equal(used(() => 0).size, 2);
+  // An image that is there comes before a record that is written anyway.
+  assert.deepEqual([...used(cached)].sort(), ['n-4', 'n-5']);
+  // Replicas stay apart: one machine must not take several of them with it.
+  const service = job('wk-3', { shape: 'daemon', shards: 4, cards: 0, vcpus: 1, memoryGb: 6 });
+  assert.equal(used(() => 0, service).size, 4);
+});
+
 test('an empty machine is opened only when nothing in use fits, so gangs find whole ones', () => {
   const busy = job('wk-1', { shards: 9, tenant: 'blue' });
   const small = job('wk-2', { shards: 4 });
