Results of unfinished jobs are gathered for about as long as a task runs

Change: a job's results are gathered for its estimate, 20 s at the most, before they get a change of their own.

--- a/src/controller/owner/results.ts
+++ b/src/controller/owner/results.ts
@@ -21,6 +21,11 @@
 
 /** Results of one job are gathered for so long at least where the budget is short. */
 const GATHER_MS = 2500;
+/**
+ * And for about as long as a task runs, but no longer than this: the tasks of most arrays run beside one another, so that
+ * the job ends before its results need a change of their own. A result that is not written is lost with its machine.
+ */
+const MOST_GATHER_MS = 20_000;
 /** The part of this process's write budget that results of unfinished jobs may take; twice that where it is idle. */
 const BUDGET_PART = 0.15;
 
@@ -33,7 +38,8 @@
    * once: the record only says too much. After a crash the next owner sees them exited in the next report.
    */
   private readonly proven = new Map<MachineName, { token: Token; exits: readonly Exit[] }>();
-  private readonly writtenAt = new Map<JobId, Steady>();
+  /** Since when results of unfinished jobs have been gathered. */
+  private readonly gatheredSince = new Map<JobId, Steady>();
 
   constructor(private readonly ctx: Context) {}
 
@@ -90,27 +96,34 @@
     for (let i = 0; i < tasks; i++) indexes.add(i);
   }
 
+  private gatheringSince(id: JobId): Steady {
+    const since = this.gatheredSince.get(id) ?? this.ctx.clock.now();
+    this.gatheredSince.set(id, since);
+    return since;
+  }
+
   /** The jobs that have ended, and the results of others that are due to be written. */
   settle(found: FoundResults): { ended: { job: JobRecord; done: DoneSet }[]; partial: Group[] } {
     const { ctx } = this;
     const now = ctx.clock.now();
-    const everyMs = this.writeEveryMs(found.size);
+    const budgetMs = this.writeEveryMs(found.size);
     const ended: { job: JobRecord; done: DoneSet }[] = [];
     const partial: Group[] = [];
     for (const [id, indexes] of found) {
       const job = ctx.view.jobs.get(id);
       if (job === undefined) continue;
       const done = markDone(job.done, indexes);
+      const everyMs = Math.max(budgetMs, Math.min(job.spec.estimateS * 1000, MOST_GATHER_MS));
       if (done.count >= job.spec.tasks) ended.push({ job, done });
-      else if (now - (this.writtenAt.get(id) ?? Number.NEGATIVE_INFINITY) >= everyMs) {
-        this.writtenAt.set(id, now);
+      else if (now - this.gatheringSince(id) >= everyMs) {
+        this.gatheredSince.set(id, now);
         partial.push({
           ops: [{ key: key.job(id), value: ctx.storedJob({ ...job, done }), reason: 'results' }],
           guards: [ctx.guard(key.job(id))],
         });
       }
     }
-    for (const id of this.writtenAt.keys()) if (!ctx.view.jobs.has(id)) this.writtenAt.delete(id);
+    for (const id of this.gatheredSince.keys()) if (!ctx.view.jobs.has(id)) this.gatheredSince.delete(id);
     return { ended, partial };
   }
 
