--- a/src/io/state/transactions.ts
+++ b/src/io/state/transactions.ts
@@ -14,6 +14,11 @@
   readonly guards: readonly Guard[];
 }
 
+/** A transaction filled with groups. */
+export interface Packed extends Group {
+  readonly groups: readonly Group[];
+}
+
 /** A guard that the view shows to have failed. Transactions that fail cost as much as those that do not. */
 export const outdated = (view: View, guards: readonly Guard[]) =>
   guards.some((g) => view.versionOf(g.key) !== g.version);
@@ -42,10 +47,11 @@
   base: readonly Guard[],
   limits: { readonly txnOps: number; readonly valueBytes: number },
   view: View,
-): Generator<Group> {
+): Generator<Packed> {
   const { txnOps } = limits;
   for (let i = 0; i < groups.length;) {
     const ops: Op[] = [];
+    const packed: Group[] = [];
     const guards = new Map<string, Guard>(base.map((g) => [g.key, g]));
     let bytes = 200 + 80 * guards.size;
     for (; i < groups.length; i++) {
@@ -58,13 +64,17 @@
         ops.length + g.ops.length > txnOps || bytes + size > 60_000 || guards.size + more > txnOps * 4;
       if (ops.length > 0 && full) break;
       ops.push(...g.ops);
+      packed.push(g);
       for (const x of g.guards) guards.set(x.key, x);
       bytes += size;
     }
-    if (ops.length > 0) yield { ops, guards: [...guards.values()] };
+    if (ops.length > 0) yield { ops, guards: [...guards.values()], groups: packed };
   }
 }
 
+/** What became of a transaction; `rejected`: malformed or above a limit, now and for ever. */
+export type Outcome = 'ok' | 'conflict' | 'refused' | 'rejected';
+
 /**
  * Commits and comes back only when the outcome is known. A transaction without an answer may still be applied
  * minutes later, so one of the keys it is guarded on is written anew: from then on its guards fail.
@@ -75,7 +85,7 @@
   guards: readonly Guard[],
   ops: readonly Op[],
   urgency: Urgency,
-): Promise<'ok' | 'conflict' | 'refused' | 'rejected'> {
+): Promise<Outcome> {
   const r = await client.txn(guards, ops, urgency, () => outdated(follower.view, guards));
   if (r.kind === 'ok') {
     follower.applied(ops, r.rev);
@@ -144,11 +154,27 @@
 
 /** A transaction is sent so often again before its plan is given up. */
 const MOST_REFUSALS = 3;
+/** So long after the last answer of the service a refusal is taken for the budget's, and the transaction sent again. */
+const REACHABLE_MS = 1000;
+
+/** Commits a transaction, and sends it again where the budget refused it. */
+async function commitPatiently(
+  client: StateClient,
+  follower: Follower,
+  { ops, guards }: Group,
+  urgency: Urgency,
+): Promise<Outcome> {
+  let outcome = await commit(client, follower, guards, ops, urgency);
+  for (let i = 0; i < MOST_REFUSALS && outcome === 'refused' && client.reachable(REACHABLE_MS); i++)
+    outcome = await commit(client, follower, guards, ops, urgency);
+  return outcome;
+}
 
 /**
  * Commits groups in order, as many to a transaction as fit. False: not all were committed. One that was overtaken does not
  * hold up those behind it, and one that the budget refused is sent again: with small transactions a plan takes seconds to
- * commit, and to begin anew with each refusal cost most of what was planned. After the time given the rest is left out.
+ * commit, and to begin anew with each refusal cost most of what was planned. Of a transaction that the service rejects
+ * each group is sent alone, so that the one at fault takes no others with it. After the time given the rest is left out.
  */
 export async function commitAll(
   client: StateClient,
@@ -159,13 +185,14 @@
 ): Promise<boolean> {
   const until = client.clock.now() + forMs;
   let ok = true;
-  for (const { ops, guards } of pack(groups, [], client.settings, follower.view)) {
-    let r = await commit(client, follower, guards, ops, urgency);
-    for (let i = 0; i < MOST_REFUSALS && r === 'refused' && client.reachable(1000); i++)
-      r = await commit(client, follower, guards, ops, urgency);
-    if (r === 'refused') return false;
+  for (const txn of pack(groups, [], client.settings, follower.view)) {
+    const outcome = await commitPatiently(client, follower, txn, urgency);
+    if (outcome === 'rejected' && txn.groups.length > 1) {
+      for (const group of txn.groups) await commitPatiently(client, follower, group, urgency);
+    }
+    if (outcome === 'refused') return false;
     if (client.clock.now() >= until) return false;
-    ok &&= r === 'ok';
+    ok &&= outcome === 'ok';
   }
   return ok;
 }
