A cancellation takes results along; results are not gathered where another controller waits for them

Two causes found by the tests after results were gathered for longer: - A cancellation was put off as long as its job had results that were not written: up to 20 s. It now takes them along in its own change; a job that they complete is done, as before. - Tasks of one job may be on machines of several owners, each of which sees its own only: the job ended only when two of them had written their part, and its tasks counted against the team's limit until then. Results are gathered only by the team's own controller, and only while tasks of the job run on its own machines. Heads that have to outlast hundreds of submissions are given a run time instead of many tasks.

--- a/src/controller/owner/job-reconciler.ts
+++ b/src/controller/owner/job-reconciler.ts
@@ -4,7 +4,9 @@
 import type { Group } from '../../io/state/transactions.js';
 import type { Guard, Op } from '../../io/wire.js';
 import type { Context } from '../context.js';
-import type { FoundResults } from './results.js';
+import type { SettledResults } from './results.js';
+
+type ResultsByJob = ReadonlyMap<JobId, DoneSet>;
 
 /** So many jobs are withdrawn in one pass after one that they need: the rest of the work must not wait for hundreds. */
 const MOST_WITHDRAWN = 16;
@@ -19,31 +21,33 @@
     this.requested.add(id);
   }
 
-  /** The change that ends a job all of whose tasks are done. */
-  end(job: JobRecord, done: DoneSet): Group {
-    return this.finish(job, { state: 'done', done: done.count });
-  }
-
-  /** Jobs with results in this pass are left for the next one: they may be done. */
-  reconcile(found: FoundResults): Group[] {
-    return [
-      ...this.takeRequestsLeft(found),
-      ...this.takeRequests(found),
-      ...this.withdrawDependents(),
-      ...this.endCancelled(found),
-    ];
+  /** Results go before a cancellation, or with it: what is done stays done. */
+  reconcile({ ended, open }: SettledResults): { ends: Group[]; cancellations: Group[] } {
+    const { jobs } = this.ctx.view;
+    const ends = [...ended].map(([id, done]) =>
+      this.finish(jobs.get(id)!, { state: 'done', done: done.count }),
+    );
+    return {
+      ends,
+      cancellations: [
+        ...this.takeRequestsLeft(ended, open),
+        ...this.takeRequests(ended, open),
+        ...this.withdrawDependents(),
+        ...this.endCancelled(ended, open),
+      ],
+    };
   }
 
   /** Requests that other controllers have left in the state service. */
-  private takeRequestsLeft(found: FoundResults): Group[] {
+  private takeRequestsLeft(ended: ResultsByJob, open: ResultsByJob): Group[] {
     const { ctx } = this;
     const { view } = ctx;
     const groups: Group[] = [];
     for (const id of view.cancellations) {
       const job = view.jobs.get(id);
       if (job !== undefined) {
-        if (ctx.ownsTeam(job.spec.team) && job.phase === 'active' && !found.has(id))
-          groups.push(this.beginCancellation(job));
+        if (ctx.ownsTeam(job.spec.team) && job.phase === 'active' && !ended.has(id))
+          groups.push(this.beginCancellation(job, open.get(id)));
       } else if (view.leader?.incarnation === ctx.incarnation) {
         const k = key.cancellation(id);
         groups.push({ ops: [{ key: k, value: undefined, reason: 'cancellation' }], guards: [ctx.guard(k)] });
@@ -52,14 +56,14 @@
     return groups;
   }
 
-  private takeRequests(found: FoundResults): Group[] {
+  private takeRequests(ended: ResultsByJob, open: ResultsByJob): Group[] {
     const { ctx } = this;
     const groups: Group[] = [];
     for (const id of this.requested) {
-      if (found.has(id)) continue;
+      if (ended.has(id)) continue;
       const job = ctx.view.jobs.get(id);
       const mine = job?.phase === 'active' && ctx.ownsTeam(job.spec.team);
-      if (mine && !ctx.view.cancellations.has(id)) groups.push(this.beginCancellation(job));
+      if (mine && !ctx.view.cancellations.has(id)) groups.push(this.beginCancellation(job, open.get(id)));
       else this.requested.delete(id);
     }
     return groups;
@@ -80,29 +84,34 @@
     return groups;
   }
 
-  private endCancelled(found: FoundResults): Group[] {
+  private endCancelled(ended: ResultsByJob, open: ResultsByJob): Group[] {
     const { ctx } = this;
     const ledger = ctx.ledger();
     const dependencies = ctx.dependencies.all().of;
     const groups: Group[] = [];
     for (const job of ctx.view.jobs.values()) {
       const { id, team } = job.spec;
-      if (job.phase !== 'cancelling' || found.has(id) || !ctx.ownsTeam(team)) continue;
+      if (job.phase !== 'cancelling' || ended.has(id) || !ctx.ownsTeam(team)) continue;
       if (dependencies.get(id)?.kind === 'withdrawn') continue;
       // Said only once nothing of the job is on any machine: then there is nothing left that could run on.
       if (ledger.jobs.has(id)) continue;
-      groups.push(this.finish(job, { state: 'cancelled', done: job.done.count }));
+      const { count } = open.get(id) ?? job.done;
+      groups.push(this.finish(job, { state: 'cancelled', done: count }));
     }
     return groups;
   }
 
-  private beginCancellation(job: JobRecord): Group {
+  private beginCancellation(job: JobRecord, done = job.done): Group {
     const { ctx } = this;
     const { id, team } = job.spec;
     ctx.log.info({ job: id }, 'cancelling');
     return {
       ops: [
-        { key: key.job(id), value: ctx.storedJob({ ...job, phase: 'cancelling' }), reason: 'cancellation' },
+        {
+          key: key.job(id),
+          value: ctx.storedJob({ ...job, done, phase: 'cancelling' }),
+          reason: 'cancellation',
+        },
       ],
       guards: [ctx.guard(key.job(id)), ...ctx.teamGuards(team)],
     };
--- a/src/controller/owner/owner.ts
+++ b/src/controller/owner/owner.ts
@@ -121,10 +121,10 @@
       const change = this.machines.reconcile(name, wanted, found);
       if (change !== null) (change.urgent ? urgent : later).push(change.group);
     }
-    const { ended, partial } = this.results.settle(found);
+    const settled = this.results.settle(found);
     // Ends of jobs first of all: other jobs may wait for them.
-    const ends = ended.map(({ job, done }) => this.jobs.end(job, done));
-    return { now: [...ends, ...urgent, ...this.jobs.reconcile(found)], later: [...later, ...partial] };
+    const { ends, cancellations } = this.jobs.reconcile(settled);
+    return { now: [...ends, ...urgent, ...cancellations], later: [...later, ...settled.due] };
   }
 
   private async placeIfDue(): Promise<boolean> {
--- a/src/controller/owner/results.ts
+++ b/src/controller/owner/results.ts
@@ -29,9 +29,19 @@
 /** The part of this process's write budget that results of unfinished jobs may take; twice that where it is idle. */
 const BUDGET_PART = 0.15;
 
-/** The results that one pass has found, by job. */
+/** The results that one pass has found and that are not in the state service yet, by job. */
 export type FoundResults = Map<JobId, Set<TaskIndex>>;
 
+/** What follows from them. */
+export interface SettledResults {
+  /** Jobs all of whose tasks are done. */
+  readonly ended: ReadonlyMap<JobId, DoneSet>;
+  /** Results of other jobs, with those that are in their records. */
+  readonly open: ReadonlyMap<JobId, DoneSet>;
+  /** Changes that write those of them that are due. */
+  readonly due: readonly Group[];
+}
+
 export class Results {
   /**
    * Tasks that are done and whose entries are still in their machine's record. Their room can be used again at
@@ -102,29 +112,48 @@
     return since;
   }
 
-  /** The jobs that have ended, and the results of others that are due to be written. */
-  settle(found: FoundResults): { ended: { job: JobRecord; done: DoneSet }[]; partial: Group[] } {
+  /** Which jobs have ended, and which results are to be written now. */
+  settle(found: FoundResults): SettledResults {
     const { ctx } = this;
     const now = ctx.clock.now();
     const budgetMs = this.writeEveryMs(found.size);
-    const ended: { job: JobRecord; done: DoneSet }[] = [];
-    const partial: Group[] = [];
+    const ended = new Map<JobId, DoneSet>();
+    const open = new Map<JobId, DoneSet>();
+    const due: Group[] = [];
     for (const [id, indexes] of found) {
       const job = ctx.view.jobs.get(id);
       if (job === undefined) continue;
       const done = markDone(job.done, indexes);
-      const everyMs = Math.max(budgetMs, Math.min(job.spec.estimateS * 1000, MOST_GATHER_MS));
-      if (done.count >= job.spec.tasks) ended.push({ job, done });
-      else if (now - this.gatheringSince(id) >= everyMs) {
-        this.gatheredSince.set(id, now);
-        partial.push({
-          ops: [{ key: key.job(id), value: ctx.storedJob({ ...job, done }), reason: 'results' }],
-          guards: [ctx.guard(key.job(id))],
-        });
+      if (done.count >= job.spec.tasks) {
+        ended.set(id, done);
+        continue;
       }
+      open.set(id, done);
+      if (now - this.gatheringSince(id) < Math.max(budgetMs, this.gatherMs(job, done))) continue;
+      this.gatheredSince.set(id, now);
+      due.push({
+        ops: [{ key: key.job(id), value: ctx.storedJob({ ...job, done }), reason: 'results' }],
+        guards: [ctx.guard(key.job(id))],
+      });
     }
     for (const id of this.gatheredSince.keys()) if (!ctx.view.jobs.has(id)) this.gatheredSince.delete(id);
-    return { ended, partial };
+    return { ended, open, due };
+  }
+
+  /**
+   * How long a job's results may be gathered beyond what the budget asks for. Not at all where another controller may
+   * wait for them: the job's other tasks are on machines of several owners, and each sees its own machines' only, or the
+   * team belongs to another controller, which counts its tasks against the limit until their results are written.
+   */
+  private gatherMs(job: JobRecord, done: DoneSet): number {
+    const { ctx } = this;
+    if (!ctx.ownsTeam(job.spec.team)) return 0;
+    const runsHere = ([index, at]: [TaskIndex, { machine: MachineName }]) => {
+      const machine = ctx.view.machines.get(at.machine);
+      return machine !== undefined && ctx.isMine(machine) && !isDone(done, index);
+    };
+    const tasks = ctx.ledger().jobs.get(job.spec.id)?.tasks ?? [];
+    return [...tasks].some(runsHere) ? Math.min(job.spec.estimateS * 1000, MOST_GATHER_MS) : 0;
   }
 
   /**
--- a/test/sim/pipelines.ts
+++ b/test/sim/pipelines.ts
@@ -24,6 +24,19 @@
     fields: { cards: 0, vcpus: 1, memoryGb: 1, loaner: true, ...fields },
   });
 
+/** Submits an array whose last task runs for so long, and waits until it is accepted. */
+export async function running(sim: Sim, forMs: number, fields = {}): Promise<string> {
+  const id = sim.submit({
+    kind: 'sweep',
+    stays: true,
+    tasks: 2,
+    apartMs: forMs,
+    fields: { cards: 0, vcpus: 1, memoryGb: 1, loaner: true, ...fields },
+  });
+  await until(sim, () => job(sim, id).accepted, 20_000);
+  return id;
+}
+
 /** Submits one, and waits until it is accepted. */
 export async function accepted(
   sim: Sim,
