Users' transactions are sent again after a refusal; users see what a job inherits and what withdrew it

Change: a transaction that a user waits for is sent again, twice at the most, while the service answers; in an outage it is refused at once, as before. Ruled out: the processes that are replaced (as many 'no_node' before and after).

Show tells inherited priority and latest finish, and a withdrawn job the job whose cancellation withdrew it, also after it is over (a field of its final state that the version before ignores).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,6 +59,7 @@
         'error',
         { allowForKnownSafeCalls: [{ from: 'package', name: 'test', package: 'node:test' }] },
       ],
+      '@typescript-eslint/no-unused-vars': ['error', { ignoreRestSiblings: true }],
       eqeqeq: ['error', 'always', { null: 'ignore' }],
       'no-console': 'error',
     },
--- a/src/controller/jobs.ts
+++ b/src/controller/jobs.ts
@@ -8,6 +8,7 @@
   type JobRecord,
   type JobSpec,
   type JobState,
+  type Priority,
 } from '../core/types.js';
 import { key } from '../core/keys.js';
 import { Unavailable } from '../io/state/client.js';
@@ -24,6 +25,10 @@
   readonly running: number;
   /** What the job still waits for. */
   readonly needs?: readonly JobId[];
+  /** What it inherits from jobs that need it. */
+  readonly inherited?: { readonly priority: Priority; readonly dueInS: number | null };
+  /** The job whose cancellation withdrew this one. */
+  readonly because?: JobId;
 }
 
 /** What became of a submission. */
@@ -39,6 +44,13 @@
   | { readonly kind: 'not_found' }
   | { readonly kind: 'later' };
 
+/** What the jobs that a submission names mean for it. */
+type JudgedNeeds =
+  | { readonly kind: 'open'; readonly left: readonly JobId[] }
+  | { readonly kind: 'withdrawn'; readonly because: JobId }
+  /** One of them was never accepted, is the job itself, or is a service. */
+  | { readonly kind: 'impossible' };
+
 /** How long a cancellation is worked on before its user is told to come back. */
 const CANCEL_WAIT_MS = 3000;
 
@@ -62,7 +74,8 @@
   }
 
   private finalStatus(f: FinalRecord): Status {
-    return { state: f.state, done: f.done, running: 0 };
+    const because = f.because === undefined ? {} : { because: f.because };
+    return { state: f.state, done: f.done, running: 0, ...because };
   }
 
   async submit(spec: JobSpec): Promise<Submitted> {
@@ -75,39 +88,39 @@
       const known = await this.find(spec.id);
       if (known !== undefined) return { kind: 'known', state: known.state };
     }
-    const { needs: named = [], ...rest } = spec;
-    const needs = await this.needsLeft(spec.id, named);
-    if (needs === 'unknown_need') return this.knownOrImpossible(spec.id, needs);
+    const needs = await this.judgeNeeds(spec);
+    if (needs.kind === 'impossible') return this.knownOrImpossible(spec.id, 'unknown_need');
+    if (needs.kind === 'withdrawn') {
+      // One that names a cancelled job is accepted, and is over at once.
+      const over: FinalRecord = { state: 'cancelled', done: 0, at: ctx.clock.wall(), because: needs.because };
+      return this.accept(spec, { key: key.final(spec.id), value: over, reason: 'submission' }, 'cancelled');
+    }
+    const { needs: named, ...rest } = spec;
     const record: JobRecord = {
-      spec: needs === 'cancelled' || needs.length === 0 ? rest : { ...rest, needs },
+      spec: needs.left.length === 0 ? rest : { ...rest, needs: needs.left },
       phase: 'active',
       done: NONE_DONE,
-      submitted: this.ctx.clock.wall(),
+      submitted: ctx.clock.wall(),
     };
     // One that does not fit is refused with its status: its change would be refused for ever.
     const stored = storedJob(record, ctx.state.settings.valueBytes);
     if (stored === null) return this.knownOrImpossible(spec.id, 'too_large');
-    // One that names a cancelled job is accepted, and is over at once.
-    const over: FinalRecord = { state: 'cancelled', done: 0, at: record.submitted };
-    const ops: Op[] =
-      needs === 'cancelled'
-        ? [{ key: key.final(spec.id), value: over, reason: 'submission' }]
-        : [{ key: key.job(spec.id), value: stored, reason: 'submission' }];
-    const guards = [
-      { key: key.job(spec.id), version: NO_VERSION },
-      { key: key.final(spec.id), version: NO_VERSION },
-    ];
-    const r = await ctx.state.txn(guards, ops, URGENCY.users);
-    if (r.kind === 'ok') {
-      ctx.follower.applied(ops, r.rev);
-      ctx.log.info(
-        { job: spec.id, team: spec.team, kind: spec.kind, tasks: spec.tasks, class: spec.class },
-        'accepted',
-      );
-      return { kind: 'accepted', state: needs === 'cancelled' ? 'cancelled' : 'pending' };
+    return this.accept(spec, { key: key.job(spec.id), value: stored, reason: 'submission' }, 'pending');
+  }
+
+  /** Commits an accepted job, in whatever state it is from the first moment. */
+  private async accept(spec: JobSpec, op: Op, state: JobState): Promise<Submitted> {
+    const { ctx } = this;
+    const { id, team, kind, tasks } = spec;
+    const guards = [key.job(id), key.final(id)].map((k) => ({ key: k, version: NO_VERSION }));
+    const result = await ctx.state.txnWithRetry(guards, [op], URGENCY.users);
+    if (result.kind === 'ok') {
+      ctx.follower.applied([op], result.rev);
+      ctx.log.info({ job: id, team, kind, tasks, class: spec.class }, 'accepted');
+      return { kind: 'accepted', state };
     }
-    if (r.kind === 'conflict') {
-      const known = await this.find(spec.id);
+    if (result.kind === 'conflict') {
+      const known = await this.find(id);
       if (known !== undefined) return { kind: 'known', state: known.state };
     }
     // No answer: it may have been committed. The retry will find out.
@@ -124,27 +137,27 @@
    * Which of the jobs that it names are not done yet; whether they were accepted is decided as freshly as a poll is.
    * Throws `Unavailable` where that cannot be known now.
    */
-  private async needsLeft(
-    of: JobId,
-    named: readonly JobId[],
-  ): Promise<readonly JobId[] | 'cancelled' | 'unknown_need'> {
+  private async judgeNeeds({ id: of, needs: named = [] }: JobSpec): Promise<JudgedNeeds> {
     const { ctx } = this;
     const left: JobId[] = [];
-    let cancelled = false;
-    if (named.includes(of)) return 'unknown_need';
+    let because: JobId | null = null;
+    if (named.includes(of)) return { kind: 'impossible' };
     if (named.some((id) => ctx.finalStates.cached(id) === undefined)) await ctx.follower.fresh();
     for (const id of named) {
       const job = ctx.view.jobs.get(id);
-      const final = job === undefined ? await ctx.finalStates.read(id) : undefined;
-      if (job === undefined && final === undefined) return 'unknown_need';
+      if (job === undefined) {
+        const final = await ctx.finalStates.read(id);
+        if (final === undefined) return { kind: 'impossible' };
+        if (final.state === 'cancelled') because ??= final.because ?? id;
+        continue;
+      }
       // A service runs until it is cancelled: what waits for its end could never run.
-      if (job?.spec.kind === 'service') return 'unknown_need';
-      if (job !== undefined) {
-        left.push(id);
-        cancelled ||= (await ctx.dependencies.decide(job))?.kind === 'withdrawn';
-      } else cancelled ||= final?.state === 'cancelled';
+      if (job.spec.kind === 'service') return { kind: 'impossible' };
+      left.push(id);
+      const dependency = await ctx.dependencies.decide(job);
+      if (dependency?.kind === 'withdrawn') because ??= dependency.because;
     }
-    return cancelled ? 'cancelled' : left;
+    return because === null ? { kind: 'open', left } : { kind: 'withdrawn', because };
   }
 
   /**
@@ -163,13 +176,25 @@
       const d = await ctx.dependencies.decide(job);
       // Its record may stand for a while yet, but it can never start: no user has to wait for the change to be written,
       // nor for an outage to end. A cancellation is for ever, so every controller comes to this answer from now on.
-      if (d?.kind === 'withdrawn') return { state: 'cancelled', done: 0, running: 0 };
-      return { ...this.statusOf(job), ...(d?.kind === 'blocked' ? { needs: d.by } : {}) };
+      if (d?.kind === 'withdrawn') return { state: 'cancelled', done: 0, running: 0, because: d.because };
+      return {
+        ...this.statusOf(job),
+        ...(d?.kind === 'blocked' ? { needs: d.by } : {}),
+        ...this.inheritedBy(job),
+      };
     }
     const final = await this.ctx.finalStates.read(id);
     return final === undefined ? undefined : this.finalStatus(final);
   }
 
+  private inheritedBy(job: JobRecord): Pick<Status, 'inherited'> {
+    const { dependencies, clock } = this.ctx;
+    const urgency = dependencies.all().inherited.get(job.spec.id);
+    if (urgency === undefined) return {};
+    const { priority, dueMs } = urgency;
+    return { inherited: { priority, dueInS: dueMs === null ? null : (dueMs - clock.wall()) / 1000 } };
+  }
+
   async cancel(id: JobId): Promise<Cancelled> {
     const { ctx } = this;
     const status = await this.find(id);
--- a/src/controller/owner/job-reconciler.ts
+++ b/src/controller/owner/job-reconciler.ts
@@ -80,7 +80,7 @@
       const job = ctx.view.jobs.get(id);
       // It never started, so that there is nothing but its record. Its users are told already (`Jobs.find`).
       if (job === undefined || !ctx.ownsTeam(job.spec.team) || ledger.jobs.has(id)) continue;
-      groups.push(this.finish(job, { state: 'cancelled', done: 0 }));
+      groups.push(this.finish(job, { state: 'cancelled', done: 0, because: dependency.because }));
     }
     return groups;
   }
--- a/src/controller/status.ts
+++ b/src/controller/status.ts
@@ -14,7 +14,7 @@
     ? `waits for ${d.by.join(', ')}`
     : d.kind === 'unknown'
       ? `waits to know how ${d.unread.join(', ')} ended`
-      : 'withdrawn after a job that it needs';
+      : `withdrawn with ${d.because}, which it needs`;
 
 const amounts = (a: Amounts) => ({ cpus: a[CPU] / UNIT, gpus: a[GPU] / UNIT });
 
--- a/src/core/dependencies.ts
+++ b/src/core/dependencies.ts
@@ -3,7 +3,14 @@
  * those that are over. Nothing is remembered between two calls, so any controller that takes over comes to the same
  * result. A job that has left the view proves nothing by that: only its final state, once read, does.
  */
-import { PRIORITY_RANK, type FinalRecord, type JobId, type JobRecord, type WallMs } from './types.js';
+import {
+  PRIORITY_RANK,
+  type FinalRecord,
+  type JobId,
+  type JobRecord,
+  type Priority,
+  type WallMs,
+} from './types.js';
 
 /** Whether a job that names others may start. */
 export type Dependency =
@@ -13,13 +20,15 @@
   | { readonly kind: 'blocked'; readonly by: readonly JobId[]; readonly unread: readonly JobId[] }
   /** Needed jobs are over, and how is not read yet. */
   | { readonly kind: 'unknown'; readonly unread: readonly JobId[] }
-  /** A job that it needs, directly or through others, was cancelled. */
-  | { readonly kind: 'withdrawn' };
+  /** A job that it needs, directly or through others, was cancelled: that one. */
+  | { readonly kind: 'withdrawn'; readonly because: JobId };
 
 /** What follows from the records for all unfinished jobs. */
 export interface Dependencies {
   /** By job that names others; one that names none is not in it. */
   readonly of: ReadonlyMap<JobId, Dependency>;
+  /** What jobs inherit from those that need them. */
+  readonly inherited: ReadonlyMap<JobId, EffectiveUrgency>;
   /** Unfinished jobs as they are to be scheduled: those that may start, with what they inherit. */
   readonly startable: readonly JobRecord[];
 }
@@ -73,13 +82,14 @@
   const begun = job.done.count > 0 || input.started(job);
   for (const id of needsOf(job)) {
     if (input.jobs.has(id)) {
-      if (of.get(id)?.kind === 'withdrawn') return { kind: 'withdrawn' };
+      const before = of.get(id);
+      if (before?.kind === 'withdrawn') return before;
       by.push(id);
       continue;
     }
     const final = input.final(id);
     if (final === undefined) unread.push(id);
-    else if (final.state === 'cancelled') return { kind: 'withdrawn' };
+    else if (final.state === 'cancelled') return { kind: 'withdrawn', because: final.because ?? id };
     else if (final.at !== undefined && final.at > since) since = final.at;
   }
   if (begun) return { kind: 'ready', since };
@@ -114,65 +124,66 @@
 export const judgeNeeds = (job: JobRecord, input: DependencyInput): Dependency | undefined =>
   judgeAll(inOrder(chainOf(job, input.jobs), input.jobs), input).get(job.spec.id);
 
-interface Inherited {
-  readonly priority: JobRecord['spec']['priority'];
+/** How urgent a job is, those that need it included. */
+export interface EffectiveUrgency {
+  readonly priority: Priority;
   /** By when it must be done, so that those that need it can be in time. */
   readonly dueMs: number | null;
 }
 
+const higherOf = (a: Priority, b: Priority): Priority => (PRIORITY_RANK[a] < PRIORITY_RANK[b] ? a : b);
+const earlierOf = (a: number | null, b: number | null): number | null =>
+  a === null || b === null ? (a ?? b) : Math.min(a, b);
+const mostUrgent = (a: EffectiveUrgency, b: EffectiveUrgency | undefined): EffectiveUrgency =>
+  b === undefined ? a : { priority: higherOf(a.priority, b.priority), dueMs: earlierOf(a.dueMs, b.dueMs) };
+
+const ownUrgency = ({ spec, submitted }: JobRecord): EffectiveUrgency => ({
+  priority: spec.priority,
+  dueMs: spec.deadlineS === null ? null : submitted + spec.deadlineS * 1000,
+});
+
 /**
  * A needed job has the highest priority of any that needs it, and has to be done early enough for each of them: users
  * set both on the last job of a pipeline only.
  */
+function inheritUrgency(
+  ordered: readonly JobRecord[],
+  of: ReadonlyMap<JobId, Dependency>,
+  input: DependencyInput,
+): Map<JobId, EffectiveUrgency> {
+  const inherited = new Map<JobId, EffectiveUrgency>();
+  // The last jobs first, so that what they ask for goes through any depth.
+  for (const job of [...ordered].reverse()) {
+    if (job.phase !== 'active' || of.get(job.spec.id)?.kind === 'withdrawn') continue;
+    const { priority, dueMs } = mostUrgent(ownUrgency(job), inherited.get(job.spec.id));
+    const asks = { priority, dueMs: dueMs === null ? null : dueMs - input.runMs(job) };
+    for (const id of needsOf(job))
+      if (input.jobs.has(id)) inherited.set(id, mostUrgent(asks, inherited.get(id)));
+  }
+  return inherited;
+}
+
+/** The job as it is scheduled. Its own times count from when the last job that it needs was done, but for the deadline. */
+function withUrgency(job: JobRecord, since: WallMs, urgency: EffectiveUrgency): JobRecord {
+  const { priority, dueMs } = urgency;
+  const deadlineS = dueMs === null ? null : (dueMs - since) / 1000;
+  return { ...job, submitted: since, spec: { ...job.spec, priority, deadlineS } };
+}
+
+/** What the records and the final states read so far say of all unfinished jobs. */
 export function judgeDependencies(input: DependencyInput): Dependencies {
   const { jobs } = input;
   const ordered = inOrder(jobs.values(), jobs);
   const of = judgeAll(ordered, input);
-  const inherited = new Map<JobId, Inherited>();
-  const ownDue = (j: JobRecord) => (j.spec.deadlineS === null ? null : j.submitted + j.spec.deadlineS * 1000);
-  const whole = (j: JobRecord): Inherited => {
-    const from = inherited.get(j.spec.id);
-    const due = ownDue(j);
-    if (from === undefined) return { priority: j.spec.priority, dueMs: due };
-    const higher = PRIORITY_RANK[from.priority] < PRIORITY_RANK[j.spec.priority];
-    return {
-      priority: higher ? from.priority : j.spec.priority,
-      dueMs: from.dueMs === null || (due !== null && due < from.dueMs) ? due : from.dueMs,
-    };
-  };
-  // The last jobs first, so that what they ask for goes through any depth.
-  for (const j of ordered.reverse()) {
-    if (j.phase !== 'active' || of.get(j.spec.id)?.kind === 'withdrawn') continue;
-    const mine = whole(j);
-    const before = mine.dueMs === null ? null : mine.dueMs - input.runMs(j);
-    for (const id of needsOf(j)) {
-      if (!jobs.has(id)) continue;
-      const known = inherited.get(id);
-      inherited.set(id, {
-        priority:
-          known !== undefined && PRIORITY_RANK[known.priority] < PRIORITY_RANK[mine.priority]
-            ? known.priority
-            : mine.priority,
-        dueMs: known?.dueMs != null && (before === null || known.dueMs < before) ? known.dueMs : before,
-      });
-    }
-  }
+  const inherited = inheritUrgency(ordered, of, input);
   const startable: JobRecord[] = [];
-  for (const j of jobs.values()) {
-    const d = of.get(j.spec.id);
-    if (d !== undefined && d.kind !== 'ready') continue;
-    if (d === undefined && !inherited.has(j.spec.id)) {
-      startable.push(j);
-      continue;
-    }
-    // Its own times count from when the last job that it needs was done; only the deadline counts from the submission.
-    const since = d?.since ?? j.submitted;
-    const { priority, dueMs } = whole(j);
-    startable.push({
-      ...j,
-      submitted: since,
-      spec: { ...j.spec, priority, deadlineS: dueMs === null ? null : (dueMs - since) / 1000 },
-    });
+  for (const job of jobs.values()) {
+    const dependency = of.get(job.spec.id);
+    if (dependency !== undefined && dependency.kind !== 'ready') continue;
+    const from = inherited.get(job.spec.id);
+    const asItStands = dependency === undefined && from === undefined;
+    const since = dependency?.since ?? job.submitted;
+    startable.push(asItStands ? job : withUrgency(job, since, mostUrgent(ownUrgency(job), from)));
   }
-  return { of, startable };
+  return { of, inherited, startable };
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -192,6 +192,8 @@
   readonly done: number;
   /** When it was over; versions before pipelines did not write it. */
   readonly at?: WallMs;
+  /** The job whose cancellation withdrew this one, where it was not its own. */
+  readonly because?: JobId;
 }
 
 /** Some tasks of one job and one attempt on one machine. */
--- a/src/io/state/client.ts
+++ b/src/io/state/client.ts
@@ -37,6 +37,8 @@
 export class Unavailable extends Error {}
 
 const TIMEOUT_MS = 2000;
+/** How often a transaction that a user waits for is sent again after a refusal. */
+const MOST_RETRIES = 2;
 
 /** Requests to the state service, each within the budget. */
 export class StateClient {
@@ -150,9 +152,20 @@
     throw new Error(`transaction: ${r.status} ${JSON.stringify(r.body)}`);
   }
 
+  /**
+   * As `txn`, sent again where the service's budget was spent for the moment: it is back within a fraction of a second,
+   * and a user who is told to come back does so after a second at the earliest. In an outage nothing is sent again.
+   */
+  async txnWithRetry(guards: readonly Guard[], ops: readonly Op[], urgency: Urgency): Promise<TxnResult> {
+    let result = await this.txn(guards, ops, urgency);
+    for (let i = 0; i < MOST_RETRIES && result.kind === 'refused' && this.contactAt > this.failedAt; i++)
+      result = await this.txn(guards, ops, urgency);
+    return result;
+  }
+
   /** The service's present revision: whatever was committed before the call is at or below it. */
   async present(urgency: Urgency): Promise<Revision> {
-    const r = await this.txn([], [], urgency);
+    const r = await this.txnWithRetry([], [], urgency);
     if (r.kind !== 'ok') throw new Unavailable('present');
     return r.rev;
   }
--- a/src/io/users.ts
+++ b/src/io/users.ts
@@ -92,7 +92,7 @@
     const r = await admitted(async () => ({ found: await o.jobs.find(id) }));
     if (r === null) return reply.code(429).header('retry-after', '1').send(later);
     if (r.found === undefined) return reply.code(404).send({ error: 'no such job' });
-    return reply.send(wire.statusToWire(id, r.found.state, r.found.done, r.found.running, r.found.needs));
+    return reply.send(wire.statusToWire(id, r.found));
   });
 
   app.post<{ Params: { id: string } }>(wire.paths.cancel, async (req, reply) => {
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -101,6 +101,13 @@
   low: 'low',
 };
 
+const TIER: Record<Priority, string> = {
+  production: 'production',
+  high: 'urgent',
+  normal: 'standard',
+  low: 'low',
+};
+
 /** A submission as a job. */
 export function jobFromWire(b: Static<typeof Submission>): JobSpec {
   return {
@@ -129,20 +136,30 @@
 const STANDING = { pending: 'pending', running: 'running', done: 'done', cancelled: 'withdrawn' };
 /** The answer to a submission or a cancellation. */
 export const acceptedToWire = (id: JobId, state: JobState) => ({ nameId: id, standing: STANDING[state] });
-/** What a job still waits for is told beside what the protocol asks for. */
-export const statusToWire = (
-  id: JobId,
-  state: JobState,
-  done: number,
-  running: number,
-  needs: readonly JobId[] = [],
-) => ({
-  nameId: id,
-  standing: STANDING[state],
-  done,
-  running,
-  ...(needs.length === 0 ? {} : { awaits: needs.slice(0, MOST_NEEDS_TOLD) }),
-});
+/** A job as it is shown. */
+export interface ShownJob {
+  readonly state: JobState;
+  readonly done: number;
+  readonly running: number;
+  readonly needs?: readonly JobId[];
+  readonly inherited?: { readonly priority: Priority; readonly dueInS: number | null };
+  readonly because?: JobId;
+}
+/** What a job waits for, inherits or was withdrawn with is told beside what the protocol asks for. */
+export function statusToWire(id: JobId, job: ShownJob) {
+  const { state, done, running, needs = [], inherited, because } = job;
+  return {
+    nameId: id,
+    standing: STANDING[state],
+    done,
+    running,
+    ...(needs.length === 0 ? {} : { awaits: needs.slice(0, MOST_NEEDS_TOLD) }),
+    ...(inherited === undefined
+      ? {}
+      : { inherits: { tier: TIER[inherited.priority], dueInS: inherited.dueInS } }),
+    ...(because === undefined ? {} : { withdrawnWith: because }),
+  };
+}
 const MOST_NEEDS_TOLD = 100;
 
 // Workers.
--- a/test/dependencies.test.ts
+++ b/test/dependencies.test.ts
@@ -179,6 +179,37 @@
   assert.equal(waiting.filter((id) => job(sim, id).doneTasks.size > 0).length, 0);
 });
 
+test('a user is shown what a job inherits, and which cancellation withdrew it, at every controller and for ever', async () => {
+  const sim = await begun(4);
+  const first = await running(sim, 60_000, { tier: 'low' });
+  const middle = await accepted(sim, [first], 1, { tier: 'low' });
+  const last = await accepted(sim, [middle], 1, { tier: 'urgent', dueS: 90, expectedS: 10 });
+  for (const node of controllers(sim)) {
+    const shown = await findAt(sim, node, middle);
+    assert.deepEqual(shown?.needs, [first]);
+    assert.equal(shown.inherited?.priority, 'high');
+    // By the deadline of the last, less its own run.
+    assert.ok(shown.inherited.dueInS! < 80 && shown.inherited.dueInS! > 40, `${shown.inherited.dueInS}`);
+  }
+  assert.equal((await findAt(sim, 'c-0', last))?.inherited, undefined, 'its own urgency is no inheritance');
+  sim.callOff(first);
+  await until(sim, () => job(sim, first).toldFinal === 'cancelled', 20_000);
+  const late = await accepted(sim, [last]);
+  const shows = async (state: string) => {
+    for (const node of controllers(sim))
+      for (const id of [middle, last, late]) {
+        const shown = await findAt(sim, node, id);
+        assert.deepEqual([shown?.state, shown?.because], ['cancelled', first], `${id} at ${node} ${state}`);
+      }
+    assert.equal((await findAt(sim, 'c-0', first))?.because, undefined, 'its own user called it off');
+  };
+  await shows('at once');
+  await until(sim, () => [middle, last].every((id) => sim.state.rows.has(key.final(jobId(id)))), 10_000);
+  restartWithLowLimits(sim);
+  await wait(sim, 4000);
+  await shows('after a restart of all');
+});
+
 test('jobs that wait for others take no room, no part of a limit, and no machine is rented for them', async () => {
   const sim = await begun(4);
   const head = await running(sim, 60_000);
