--- /dev/null
+++ b/test/sim/node.ts
@@ -0,0 +1,253 @@
+/** A controller of a seeded run, among stand-ins for all that it talks to; it may end, be cut off, or be of the version before. */
+import { pino } from 'pino';
+import { readOperator } from '../../src/config/operator.js';
+import type { Settings } from '../../src/config/settings.js';
+import { Controller, type Outside } from '../../src/controller/controller.js';
+import { jobId, nodeName, teamName, zoneName } from '../../src/core/types.js';
+import type { Reply, Transport } from '../../src/io/http.js';
+import type { Peer } from '../../src/io/peers.js';
+import * as wire from '../../src/io/wire.js';
+import type { Workers } from '../../src/io/workers.js';
+import type { Sim } from './run.js';
+import { LIMITS, NODES, TEAMS, ZONES, type Json } from './sizes.js';
+import { ProcessClock } from './world.js';
+
+/** A change as the version before pipelines wrote it. */
+function asBefore(o: Json): void {
+  if (String(o['write']).startsWith('f/')) delete (o['value'] as Json)['at'];
+}
+
+export const asError = (e: unknown): Error => (e instanceof Error ? e : new Error('failed', { cause: e }));
+
+/** What lies between a controller and the others, in virtual time and shorter than in operation. */
+const OPERATOR =
+  '[placement]\nbehind_s = 20\n[fleet]\nidle_boot_factor = 2\nrefused_s = 2\n[sessions]\nttl_s = 2\nrenew_every_s = 0.5\n[slices]\nsettled_s = 2\n';
+
+export class Node {
+  controller: Controller | null = null;
+  clock: ProcessClock;
+  lives = 0;
+  /** What the node cannot reach now. */
+  readonly cut = new Set<'state' | 'workers' | 'peers'>();
+  refused = false;
+  /** How much later than usual the watch tells this node of changes. */
+  watchLagMs = 0;
+  /** It runs the version before pipelines: it knows nothing of lower limits, and its final states have no time. */
+  old = false;
+
+  constructor(
+    private readonly sim: Sim,
+    readonly name: string,
+    readonly zone: string,
+  ) {
+    this.clock = new ProcessClock(sim.world, 1, 0);
+  }
+
+  start(): void {
+    const { sim } = this;
+    const { world } = sim;
+    this.clock = new ProcessClock(world, world.real(1, 1.0005), world.int(-100, 100));
+    this.lives++;
+    const outside: Outside = {
+      clock: this.clock,
+      identity: `${this.name}-${this.lives}`,
+      state: this.stateService(this.clock, false),
+      watch: this.stateService(this.clock, true),
+      cloud: this.cloud(this.clock),
+      workers: this.workers(this.clock),
+      peers: new Map(NODES.filter((n) => n !== this.name).map((n) => [n, this.peer(this.clock, n)])),
+    };
+    const log = pino({ level: 'silent' });
+    this.controller = new Controller(this.settings(), readOperator(OPERATOR), log, outside);
+    this.controller.run().catch((e: unknown) => {
+      sim.failed ??= asError(e);
+    });
+  }
+
+  crash(): void {
+    this.clock.dead = true;
+    this.controller = null;
+  }
+
+  private settings(): Settings {
+    const { size, next } = this.sim;
+    return {
+      node: nodeName(this.name),
+      zone: zoneName(this.zone),
+      bind: '',
+      peerBind: '',
+      peers: NODES.filter((n) => n !== this.name).map((n) => ({
+        node: nodeName(n),
+        zone: zoneName('a'),
+        address: '',
+      })),
+      cloud: '',
+      state: '',
+      nodes: NODES.length,
+      zones: ZONES.map(zoneName),
+      teams: [...TEAMS].map(([name, cards]) => ({
+        name: teamName(name),
+        guarantee: [0, 0, size.times * 6_000_000],
+        limitCpu: null,
+        limitGpu: cards * size.times * 1_000_000,
+      })),
+      objectives: [],
+      workers: {
+        report_s: LIMITS.reportS,
+        lease_s: LIMITS.leaseS,
+        gang_wait_s: LIMITS.gangWaitS,
+        gang_peer_s: LIMITS.gangPeerS,
+        cancel_s: LIMITS.cancelS,
+      },
+      stateLimits: {
+        rps: size.rps,
+        write_rps: size.writeRps,
+        value_kb: 8,
+        txn_ops: size.txnOps,
+        ...(this.old || next === null ? {} : { next }),
+      },
+      cloudLimits: { rps: 5, list_lag_s: 2 },
+      limits: { cpu: 1, ram_mb: 100, max_connections: 100 },
+    };
+  }
+
+  private stateService(clock: ProcessClock, watch: boolean): Transport {
+    const { sim } = this;
+    return {
+      request: (method, path, body, timeoutMs) =>
+        new Promise<Reply>((resolve, reject) => {
+          const give = (r: Reply) => {
+            sim.world.after(sim.world.int(1, 12) + (watch ? this.watchLagMs : 0), () => {
+              if (!clock.dead && !this.cut.has('state')) resolve(r);
+            });
+          };
+          clock.after(timeoutMs, () => {
+            reject(new Error('no answer'));
+          });
+          const copy: unknown = body === undefined ? undefined : structuredClone(body);
+          if (this.old) for (const o of (copy as { then?: Json[] } | undefined)?.then ?? []) asBefore(o);
+          const go = () => {
+            if (this.refused && !watch) give({ status: 503, body: null });
+            else if (watch) sim.state.follow(path, give);
+            else give(sim.state.handle(method, path, copy));
+          };
+          if (watch) this.deliver(go);
+          else this.send(go, () => sim.state.handle(method, path, copy), copy);
+        }),
+    };
+  }
+
+  /** What a cut holds back is delivered when it ends, even if nobody waits any more. */
+  private deliver(go: () => void): void {
+    const { world } = this.sim;
+    const arrive = () => {
+      if (this.cut.has('state')) world.after(700, arrive);
+      else go();
+    };
+    world.after(world.int(1, 12), arrive);
+  }
+
+  /** A request to the state service that may be lost, slow, or carried out without an answer. */
+  private send(go: () => void, carryOut: () => void, body: unknown): void {
+    const { sim } = this;
+    const { world } = sim;
+    const arrive = () => {
+      if (this.cut.has('state')) world.after(700, arrive);
+      else go();
+    };
+    // Now and then a request is lost; towards the end no more, so that everything can come to its end.
+    const rough = !sim.smooth && world.now < 90_000;
+    if (rough && world.chance(0.002)) return;
+    // A change whose answer is lost, and which is carried out after newer ones of the same process.
+    const writes = (body as { then?: unknown[] } | undefined)?.then?.length ?? 0;
+    if (writes > 0 && world.chance(sim.lateWrites)) {
+      world.after(world.int(2000, 12_000), () => {
+        sim.lateWritten++;
+        carryOut();
+      });
+      return;
+    }
+    if (sim.stateSlowMs > 0) {
+      world.after(world.int(0, sim.stateSlowMs), arrive);
+      return;
+    }
+    // Now and then a request is slow, and some of those come after their sender gave up.
+    world.after(rough && world.chance(0.01) ? world.int(200, 6000) : world.int(1, 12), arrive);
+  }
+
+  private cloud(clock: ProcessClock): Transport {
+    const { sim } = this;
+    const { world } = sim;
+    return {
+      request: (_method, path, body, timeoutMs) =>
+        new Promise<Reply>((resolve, reject) => {
+          clock.after(timeoutMs, () => {
+            reject(new Error('no answer'));
+          });
+          const late = world.chance(0.03);
+          if (late && world.chance(0.3)) return;
+          world.after(late ? world.int(4000, 12_000) : world.int(20, 200), () => {
+            const r = sim.fleet.handle(path, body);
+            if (!clock.dead) resolve(r);
+          });
+        }),
+    };
+  }
+
+  private workers(clock: ProcessClock): Workers {
+    const { sim } = this;
+    const { world } = sim;
+    return {
+      direct: (address, tok, session, commands) =>
+        new Promise((resolve) => {
+          clock.after(1500, () => {
+            resolve(null);
+          });
+          const body = JSON.parse(JSON.stringify(wire.directToWire(tok, session, commands))) as Json;
+          const arrive = () => {
+            const w = sim.fleet.machines.get(address)?.worker;
+            if (w == null || w.gone) return;
+            if (this.cut.has('workers') || sim.cutOff(w, this.name) || w.deaf) {
+              world.after(900, arrive);
+              return;
+            }
+            w.direct(body, (r) => {
+              if (!clock.dead) resolve(wire.reportFromWire(r));
+            });
+          };
+          world.after(world.int(1, 5), arrive);
+        }),
+    };
+  }
+
+  private peer(clock: ProcessClock, name: string): Peer {
+    const { sim } = this;
+    const { world } = sim;
+    return {
+      contact: (ms) =>
+        new Promise<boolean | null>((resolve) => {
+          clock.after(ms, () => {
+            resolve(null);
+          });
+          const to = sim.nodes.get(name)!;
+          world.after(world.int(1, 6), () => {
+            const { controller } = to;
+            if (this.cut.has('peers') || to.cut.has('peers') || controller === null || clock.dead) return;
+            resolve(controller.ctx.state.reachable(1500));
+          });
+        }),
+      cancel: (job, ms) =>
+        new Promise<string | null>((resolve) => {
+          clock.after(ms, () => {
+            resolve(null);
+          });
+          const to = sim.nodes.get(name)!;
+          if (this.cut.has('peers') || to.cut.has('peers') || to.controller === null) return;
+          const { controller } = to;
+          world.after(3, () => {
+            if (!clock.dead) resolve(controller.jobs.takeCancel(jobId(job)));
+          });
+        }),
+    };
+  }
+}
