--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -87,8 +87,7 @@
       n.start();
     });
     this.world.check = () => {
-      if (this.failed !== null)
-        throw this.failed instanceof Error ? this.failed : new Error(String(this.failed));
+      if (this.failed !== null) throw this.failed;
       this.fleet.checkCancelled();
     };
     this.fleet.lastTaskDone = (id) => {
