A task started once more is not taken for gone by the report that told of its end

Cause: a gang's task that waited in vain is forgotten and started again by the answer to the report that says so. Ruled out: a stale owner (the token was the present one), a direct start (there is none). Mend: a start that may still be on its way settles nothing, whatever an older report says.

--- a/src/core/worker-reports.ts
+++ b/src/core/worker-reports.ts
@@ -157,6 +157,10 @@
   for (const placed of record.placed) {
     for (const i of placed.tasks) {
       const k = taskKey(placed.job, i, placed.attempt);
+      // Its start may still be on its way. That goes for a task reported as ended, too: one whose gang was incomplete is
+      // started once more under its attempt, by the answer to the very report that tells of its end.
+      const start = mem.started.get(k);
+      if (start !== undefined && (mem.posted === null || !newer(mem.posted, start))) continue;
       const t = listed.get(k);
       if (t !== undefined) {
         // Its gang never started, and the others still fetch their image: it only has to wait anew.
@@ -170,8 +174,6 @@
         out.push({ placed, index: i, why: left.why });
         continue;
       }
-      const start = mem.started.get(k);
-      if (start !== undefined && (mem.posted === null || !newer(mem.posted, start))) continue;
       // A wanted task that is absent is simply started (again); one of a gang that was there before has
       // been lost, and the gang with it.
       const lost = placed.kind === 'gang' && mem.seen.has(k);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -5,64 +5,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobId } from '../src/core/types.js';
-import { LIMITS, SMALL, quiet, type Sim, type Size } from './sim/run.js';
-
-const LEASE_MS = LIMITS.leaseS * 1000;
-
-/** How many seeds are tried, and how far apart they are, for a run with work under way. */
-const MOST_TRIES = 10;
-const NEXT_SEED = 100;
-
-/** A run with work under way at 25 s, nothing having gone wrong so far: with this seed, or the first after it that is one. */
-async function begun(seed: number, size: Size = SMALL): Promise<Sim> {
-  for (let i = 0; i < MOST_TRIES; i++) {
-    const sim = await quiet(seed + i * NEXT_SEED, size, 25_000);
-    if (sim.running().length >= 3) return sim;
-  }
-  return assert.fail('several jobs run with no seed');
-}
-
-/** Once all is over, every job is answered about, and what ends by itself has ended. */
-async function ends(sim: Sim): Promise<void> {
-  sim.quietFrom = sim.world.now;
-  const left = () =>
-    [...sim.fleet.submitted].filter(([, j]) => j.kind !== 'daemon' && j.toldFinal === null && !j.broken);
-  await sim.world.runUntil(Math.max(sim.world.now, 75_000) + 25_000);
-  // A backlog may take its time, but not for ever.
-  for (let i = 0; i < 50 && left().length > 0; i++) await wait(sim, 2000);
-  for (const [id, j] of sim.fleet.submitted)
-    assert.ok(sim.world.now - (j.answeredAt ?? 0) < 20_000, `forgotten: nobody answers about ${id}`);
-  assert.deepEqual(
-    left().map(([id]) => id),
-    [],
-    'not done long after the last trouble',
-  );
-}
-
-/** A meeting, played with several seeds from a run under way. */
-function meeting(name: string, play: (sim: Sim) => Promise<void>, seeds: readonly number[] = [3, 8]): void {
-  for (const seed of seeds)
-    test(`${name}, seed ${seed}`, async () => {
-      const sim = await begun(seed);
-      try {
-        await play(sim);
-        await ends(sim);
-      } catch (e) {
-        if (e instanceof Error) e.message = `at ${sim.world.now.toFixed(0)} ms: ${e.message}`;
-        throw e;
-      }
-    });
-}
-
-const wait = (sim: Sim, ms: number) => sim.world.runUntil(sim.world.now + ms);
-const all = (sim: Sim) => [...sim.nodes.values()];
-const leads = (sim: Sim) => {
-  const n = sim.leader();
-  assert.ok(n?.controller != null, 'somebody leads');
-  return n;
-};
-const busy = (sim: Sim) => sim.fleet.live().filter((w) => w.tasks.size > 0);
-const calledOff = (sim: Sim) => [...sim.fleet.submitted.values()].filter((j) => j.toldCancelledAt !== null);
+import { LEASE_MS, all, begun, busy, calledOff, leads, meeting, wait } from './sim/meeting.js';
 
 // The gap: whoever says `withdrawn` must know that no machine has a task of the job, whatever its owner can still do.
 for (const [refusedMs, outMs] of [
--- a/test/sim/node.ts
+++ b/test/sim/node.ts
@@ -118,7 +118,10 @@
         new Promise<Reply>((resolve, reject) => {
           const give = (r: Reply) => {
             sim.world.after(sim.world.int(1, 12) + (watch ? this.watchLagMs : 0), () => {
-              if (!clock.dead && !this.cut.has('state')) resolve(r);
+              if (this.cut.has('state')) return;
+              clock.run(() => {
+                resolve(r);
+              });
             });
           };
           clock.after(timeoutMs, () => {
@@ -188,7 +191,9 @@
           if (late && world.chance(0.3)) return;
           world.after(late ? world.int(4000, 12_000) : world.int(20, 200), () => {
             const r = sim.fleet.handle(path, body);
-            if (!clock.dead) resolve(r);
+            clock.run(() => {
+              resolve(r);
+            });
           });
         }),
     };
@@ -212,7 +217,9 @@
               return;
             }
             w.direct(body, (r) => {
-              if (!clock.dead) resolve(wire.reportFromWire(r));
+              clock.run(() => {
+                resolve(wire.reportFromWire(r));
+              });
             });
           };
           world.after(world.int(1, 5), arrive);
@@ -232,8 +239,13 @@
           const to = sim.nodes.get(name)!;
           world.after(world.int(1, 6), () => {
             const { controller } = to;
-            if (this.cut.has('peers') || to.cut.has('peers') || controller === null || clock.dead) return;
-            resolve(controller.ctx.state.reachable(1500));
+            if (this.cut.has('peers') || to.cut.has('peers') || controller === null) return;
+            to.clock.run(() => {
+              const contact = controller.ctx.state.reachable(1500);
+              clock.run(() => {
+                resolve(contact);
+              });
+            });
           });
         }),
       cancel: (job, ms) =>
@@ -245,7 +257,12 @@
           if (this.cut.has('peers') || to.cut.has('peers') || to.controller === null) return;
           const { controller } = to;
           world.after(3, () => {
-            if (!clock.dead) resolve(controller.jobs.takeCancel(jobId(job)));
+            to.clock.run(() => {
+              const outcome = controller.jobs.takeCancel(jobId(job));
+              clock.run(() => {
+                resolve(outcome);
+              });
+            });
           });
         }),
     };
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -62,20 +62,11 @@
           done({ status: 500, body: null });
           return;
         }
-        const report = wire.reportFromWire(body);
-        assert.ok(report !== null);
-        const a = controller.reports.answer(report);
-        const r: Reply =
-          a.kind === 'ok'
-            ? {
-                status: 200,
-                body: JSON.parse(JSON.stringify(wire.commandsToWire(a.token, a.commands))) as Json,
-              }
-            : a.kind === 'busy'
-              ? { status: 503, body: null }
-              : { status: 421, body: wire.elsewhereToWire(a.node) };
-        this.world.after(this.slowly(), () => {
-          if (!clock.dead && !n.cut.has('workers') && !this.cutOff(w, node) && !w.deaf) done(r);
+        clock.run(() => {
+          const r = replyTo(controller, body);
+          this.world.after(this.slowly(), () => {
+            if (!clock.dead && !n.cut.has('workers') && !this.cutOff(w, node) && !w.deaf) done(r);
+          });
         });
       };
       this.world.after(this.slowly(), arrive);
@@ -202,7 +193,8 @@
     this.world.after(this.world.int(1000, LIMITS.leaseS * 2500), () => {
       const report = wire.reportFromWire(structuredClone(body));
       assert.ok(report !== null);
-      this.nodes.get(node)!.controller?.reports.answer(report);
+      const { controller, clock } = this.nodes.get(node)!;
+      clock.run(() => controller?.reports.answer(report));
     });
   }
 
@@ -226,11 +218,16 @@
   }
 
   private async ask<T>(what: (c: Controller) => Promise<T>): Promise<T | null> {
-    const c = this.nodes.get(this.world.pick(NODES))!.controller;
-    if (c === null) return null;
+    const { controller, clock } = this.nodes.get(this.world.pick(NODES))!;
+    if (controller === null) return null;
+    const answer = new Promise<T>((resolve, reject) => {
+      clock.run(() => {
+        what(controller).then(resolve, reject);
+      });
+    });
     try {
       // A user waits for so long and asks again later; a controller that died never answers.
-      return await Promise.race([what(c), this.world.sleep(5000).then(() => null)]);
+      return await Promise.race([answer, this.world.sleep(5000).then(() => null)]);
     } catch (e) {
       if (e instanceof Unavailable) return null;
       throw e;
@@ -482,6 +479,17 @@
   }
 }
 
+/** What a controller answers a worker's report, as it goes over the wire. */
+function replyTo(controller: Controller, body: Json): Reply {
+  const report = wire.reportFromWire(body);
+  assert.ok(report !== null);
+  const a = controller.reports.answer(report);
+  if (a.kind === 'busy') return { status: 503, body: null };
+  if (a.kind === 'elsewhere') return { status: 421, body: wire.elsewhereToWire(a.node) };
+  const commands = JSON.parse(JSON.stringify(wire.commandsToWire(a.token, a.commands))) as Json;
+  return { status: 200, body: commands };
+}
+
 /** A run in which nothing has gone wrong by itself up to the time given, for tests of one trouble alone. */
 export async function quiet(seed: number, size: Size, ms: number): Promise<Sim> {
   const sim = new Sim(seed, size);
--- a/test/sim/troubles.ts
+++ b/test/sim/troubles.ts
@@ -53,6 +53,21 @@
   });
 }
 
+/** The node stands still with its connections open, and then goes on with what it knew before. */
+function pause(sim: Sim, node: Node, ms: number): void {
+  const { clock } = node;
+  during(
+    sim,
+    ms,
+    () => {
+      clock.pause();
+    },
+    () => {
+      clock.resume();
+    },
+  );
+}
+
 /** The node does not reach these for so long. */
 function cut(sim: Sim, node: Node, ms: number, from: readonly ('state' | 'workers' | 'peers')[]): void {
   during(
@@ -156,6 +171,9 @@
   ({ sim }) => {
     for (let i = 0; i < 5; i++) sim.odd();
   },
+  ({ sim, node }) => {
+    pause(sim, node, sim.world.pick([600, 3000, 9000, 20_000]));
+  },
 ];
 
 /** One trouble, to one controller or machine. */
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -89,14 +89,41 @@
 
 const before = (a: Event, b: Event) => a.at < b.at || (a.at === b.at && a.order < b.order);
 
-/** A process's clock; once the process is dead nothing of it happens any more. */
+/**
+ * A process's clock; once the process is dead nothing of it happens any more. While it is paused nothing happens either,
+ * but its steady clock runs on, and all that was due or came in meanwhile happens when it resumes.
+ */
 export class ProcessClock implements Clock {
   dead = false;
+  private paused = false;
+  private held: (() => void)[] = [];
   constructor(
     private readonly world: World,
     private readonly rate: number,
     private readonly wallOff: number,
   ) {}
+
+  /** Does something in the process: now, when it resumes, or never. */
+  run(fn: () => void): void {
+    if (this.dead) return;
+    if (this.paused) this.held.push(fn);
+    else fn();
+  }
+
+  pause(): void {
+    this.paused = true;
+  }
+
+  resume(): void {
+    this.paused = false;
+    const held = this.held;
+    this.held = [];
+    for (const fn of held)
+      this.world.after(0, () => {
+        this.run(fn);
+      });
+  }
+
   now() {
     return steady(this.world.now * this.rate);
   }
@@ -106,7 +133,9 @@
   after(ms: number, fn: () => void): () => void {
     let off = false;
     this.world.after(ms / this.rate, () => {
-      if (!off && !this.dead) fn();
+      this.run(() => {
+        if (!off) fn();
+      });
     });
     return () => {
       off = true;
--- a/test/worker-reports.test.ts
+++ b/test/worker-reports.test.ts
@@ -162,6 +162,32 @@
   assert.equal(exits(m, mem, wanted(m, { ...gang, phase: 'cancelling' })).length, 2);
 });
 
+test('a task that is started once more is not taken for gone by the report that told of its end', () => {
+  const gang = { ...job('active'), spec: { ...spec, kind: 'gang' as const, tasks: 2 } };
+  const m = machine({ ...placed([0, 1]), kind: 'gang' });
+  const mem = newMemory(TOKEN, steady(0));
+  take(mem, report(1, TOKEN, [task(0, 'exited', 'incomplete'), task(1, 'fetching')]), 1000);
+  assert.equal(
+    commands(m, mem, wanted(m, gang), steady(1000), true).length,
+    2,
+    'forgotten and started again',
+  );
+  // The answer is under way for seconds; meanwhile the job is called off.
+  const off = wanted(m, { ...gang, phase: 'cancelling' });
+  assert.deepEqual(exits(m, mem, off), []);
+  // The answer to a direct command overtakes it, and says no more.
+  assert.ok(
+    takeReport(mem, report(2, TOKEN, [task(0, 'exited', 'incomplete')]), steady(1500), false, REPORT_MS),
+  );
+  assert.deepEqual(
+    exits(m, mem, off).filter((e) => e.index === 0),
+    [],
+  );
+  // The worker's next report is made after it took the answer, or gave it up.
+  take(mem, report(3, TOKEN, [task(0, 'exited', 'incomplete')]), 3000);
+  assert.equal(exits(m, mem, off).filter((e) => e.index === 0).length, 1);
+});
+
 test('sums that follow the records are the sums over the records', () => {
   const teams = new Map([
     [
