--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -3,6 +3,7 @@
 import type { Operator } from '../config/operator.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../core/clock.js';
+import type { OrderContext } from '../core/job-order.js';
 import { Ledger } from '../core/ledger.js';
 import { key } from '../core/keys.js';
 import { bytesOf, storedJob, type StoredJob } from '../core/records.js';
@@ -121,9 +122,14 @@
     return this.ledgerNow;
   }
 
-  /** Whether this process holds the slice that a machine or a team belongs to. */
+  /** Whether this process holds the slice that a machine or a team belongs to, and may act for it. */
   isMine(r: { owner: string }): boolean {
-    return this.view.slices.get(r.owner)?.incarnation === this.incarnation;
+    return this.view.isHeldBy(r.owner, this.incarnation);
+  }
+
+  /** Whether it has got the slice, and does not know yet what was committed before. */
+  isBecomingMine(r: { owner: string }): boolean {
+    return this.view.slices.get(r.owner)?.incarnation === this.incarnation && !this.isMine(r);
   }
 
   /** The controller that holds the slice, if it has a session. */
@@ -141,13 +147,20 @@
   /** The controller that answers the machine in its owner's place, if one does. */
   substituteOf(m: MachineRecord): string | null {
     const holder = this.view.slices.get(m.owner)?.holder;
-    for (const [node, set] of this.view.substitutes) if (node !== holder && set.has(m.name)) return node;
+    for (const { node, machines } of this.view.substitutes.values())
+      if (node !== holder && machines.has(m.name)) return node;
     return null;
   }
 
+  /** What the order of a team's jobs depends on: owners and the leader have to agree on it. */
+  order(): Omit<OrderContext, 'hasTasks'> {
+    return { wall: this.clock.wall(), behindMs: this.operator.placement.behind_s * 1000 };
+  }
+
   /** Whether room is kept for the gang: owners and the leader have to agree on it. */
   mayHold(job: JobRecord): boolean {
     const { tasks } = job.spec;
+    if (job.failing !== undefined) return false;
     const afterMs = (this.operator.placement.hold_after_s * 1000) / Math.sqrt(tasks);
     return tasks > 1 && this.clock.wall() - job.submitted > afterMs;
   }
@@ -161,8 +174,12 @@
     const wanted = this.dependencies
       .all()
       .startable.some(
-        ({ spec, phase }) =>
-          spec.kind === 'gang' && !spec.spot && phase === 'active' && !ledger.jobs.has(spec.id),
+        ({ spec, phase, failing }) =>
+          spec.kind === 'gang' &&
+          !spec.spot &&
+          phase === 'active' &&
+          failing === undefined &&
+          !ledger.jobs.has(spec.id),
       );
     const since = this.clock.wall() - this.operator.placement.yield_s * 1000;
     return ({ spec, submitted }) => wanted && spec.spot && spec.kind !== 'gang' && submitted > since;
@@ -202,7 +219,8 @@
 
   /** The job's record as it is written, within the limit for a value where that is possible. */
   storedJob(job: JobRecord): StoredJob {
-    return storedJob(job, this.state.settings.valueBytes) ?? job;
+    const limit = this.state.settings.valueBytes;
+    return storedJob(job, limit) ?? storedJob({ ...job, failing: undefined }, limit) ?? job;
   }
 
   commit(guards: readonly Guard[], ops: readonly Op[], urgency: Urgency) {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -26,6 +26,8 @@
   readonly clock: Clock;
   /** Differs between any two starts of any controller. */
   readonly identity: string;
+  /** Uniform in [0, 1), to spread what would else happen at once. */
+  readonly random: () => number;
   readonly state: Transport;
   readonly watch: Transport;
   readonly cloud: Transport;
@@ -54,7 +56,7 @@
       outside.state,
       outside.watch,
     );
-    const health = new Health(ctx);
+    const health = new Health(ctx, outside.random);
     this.ctx = ctx;
     this.membership = new Membership(ctx);
     this.availability = new Availability(ctx, this.membership, outside.peers);
@@ -103,6 +105,7 @@
   const controller = new Controller(settings, operator, log, {
     clock: realClock,
     identity: randomBytes(6).toString('hex'),
+    random: Math.random,
     state: new HttpClient(settings.state, 8),
     watch: new HttpClient(settings.state, 1),
     cloud: new HttpClient(settings.cloud, 4),
--- a/src/controller/dependency-tracker.ts
+++ b/src/controller/dependency-tracker.ts
@@ -72,7 +72,7 @@
       const open = d?.kind === 'blocked' || d?.kind === 'unknown' ? this.unread(job) : [];
       if (open.length === 0) return d;
       for (const id of open.slice(0, READS_AT_ONCE))
-        if ((await this.finalStates.read(id)) === undefined)
+        if ((await this.finalStates.read(id, this.ctx.view.rev)) === undefined)
           throw new Unavailable(`${id} is neither open nor over`);
       this.now = null;
     }
@@ -104,7 +104,7 @@
       if (unread.size === 0) return;
       const some = [...unread].slice(0, READS_AT_ONCE);
       const read = await Promise.all(
-        some.map(([need]) => this.finalStates.read(need).catch(() => undefined)),
+        some.map(([need]) => this.finalStates.read(need, ctx.view.rev).catch(() => undefined)),
       );
       const changed = some.filter((_, i) => read[i] !== undefined);
       if (changed.length > 0) {
--- a/src/controller/final-states.ts
+++ b/src/controller/final-states.ts
@@ -1,15 +1,26 @@
 /** Final states of jobs: kept by the state service for ever, remembered here within bounds. */
-import type { FinalRecord, JobId } from '../core/types.js';
+import type { FinalRecord, JobId, Revision } from '../core/types.js';
 import { key, parseKey } from '../core/keys.js';
 import { URGENCY } from '../io/rate-limiter.js';
-import type { StateClient } from '../io/state/client.js';
+import { Unavailable, type StateClient } from '../io/state/client.js';
 import type { Op } from '../io/wire.js';
 
-const KEPT = 5000;
+/** So many are remembered: a few MB. What is forgotten is read again when it is asked for. */
+const KEPT = 15_000;
+
+/** A request that is sent after the question finds what was known by then: more than two are never needed. */
+const MOST_READS = 3;
+
+/** What a read has found, and the service's revision at that moment. */
+interface FinalRead {
+  readonly final: FinalRecord | undefined;
+  readonly rev: Revision;
+}
 
 /** A bounded cache of final states over reads of the state service. */
 export class FinalStates {
   private readonly known = new Map<JobId, FinalRecord>();
+  private readonly reading = new Map<JobId, Promise<FinalRead>>();
   /** How many final states were asked for. */
   reads = 0;
 
@@ -36,15 +47,35 @@
     this.known.set(id, final);
   }
 
-  /** Reads the job's final state; undefined where it has none. */
-  async read(id: JobId): Promise<FinalRecord | undefined> {
-    const known = this.known.get(id);
-    if (known !== undefined) return known;
+  /**
+   * Reads the job's final state; undefined where it has none at the revision given. Questions about one job that come
+   * together share a request; where that was answered before the revision and found nothing, another one is made.
+   */
+  async read(id: JobId, atLeast: Revision): Promise<FinalRecord | undefined> {
+    for (let i = 0; i < MOST_READS; i++) {
+      const known = this.known.get(id);
+      if (known !== undefined) return known;
+      const { final, rev } = await this.shared(id);
+      if (final !== undefined || rev >= atLeast) return final;
+    }
+    throw new Unavailable(`${id}: answers older than what is known`);
+  }
+
+  private shared(id: JobId): Promise<FinalRead> {
+    let reading = this.reading.get(id);
+    if (reading === undefined) {
+      reading = this.request(id).finally(() => this.reading.delete(id));
+      this.reading.set(id, reading);
+    }
+    return reading;
+  }
+
+  private async request(id: JobId): Promise<FinalRead> {
     this.reads++;
-    const { value } = await this.state.get(key.final(id), URGENCY.users);
-    if (value === undefined) return undefined;
+    const { value, rev } = await this.state.get(key.final(id), URGENCY.users);
+    if (value === undefined) return { final: undefined, rev };
     const final = value as FinalRecord;
     this.remember(id, final);
-    return final;
+    return { final, rev };
   }
 }
--- a/src/controller/health.ts
+++ b/src/controller/health.ts
@@ -1,49 +1,55 @@
 /** What reports teach about machines and jobs, kept in memory only: losing it costs time, never a rule. */
-import type { ExitWhy, JobId, MachineName, MachineRecord, Placed, Report, Steady } from '../core/types.js';
+import type {
+  ExitWhy,
+  JobId,
+  JobRecord,
+  MachineName,
+  MachineRecord,
+  Placed,
+  Report,
+  Steady,
+} from '../core/types.js';
+import { Failures, RUNS_WELL_MS } from '../core/failures.js';
 import { bytesOf } from '../core/records.js';
 import { Slowness } from '../core/slowness.js';
 import { taskKey } from '../core/worker-reports.js';
 import type { Context } from './context.js';
 
-interface JobTrouble {
-  readonly machines: Set<MachineName>;
-  failures: number;
-  until: Steady | 0;
-}
-
-interface MachineTrouble {
-  /** Jobs that failed here since the last success. */
-  readonly jobs: Set<JobId>;
-  failures: number;
-  since: Steady;
-}
-
+/** So many reports, and pauses between a job and a machine, are remembered at least; for larger fleets more. */
 const REPORTS_KEPT = 4000;
+const PAUSES_KEPT = 5000;
+/** A job whose task failed on a machine, or found it full, does not go there again for so long. */
+const PAUSE_AFTER_ERROR_MS = 60_000;
+const PAUSE_AFTER_REFUSAL_MS = 3000;
 
 /** Remembers failures, caches and run times of machines and jobs. */
 export class Health {
-  private readonly jobs = new Map<JobId, JobTrouble>();
-  private readonly machines = new Map<MachineName, MachineTrouble>();
+  readonly failures: Failures;
   private readonly pauses = new Map<string, Steady>();
   /** Images that machines were seen to have, the latest used last. */
   private readonly images = new Map<MachineName, Set<string>>();
   private readonly imageGb = new Map<string, number>();
-  private readonly succeeded = new Set<JobId>();
   private readonly reports = new Map<MachineName, Report>();
 
   private readonly slowness: Slowness;
   /** Since when tasks have been seen running, by machine and task. */
   private readonly runningAt = new Map<MachineName, Map<string, Steady>>();
 
-  constructor(private readonly ctx: Context) {
+  constructor(
+    private readonly ctx: Context,
+    random: () => number,
+  ) {
     const { slow_factor, slow_runs } = ctx.operator.fleet;
     this.slowness = new Slowness({ factor: slow_factor, runs: slow_runs, samples: 12 });
-    ctx.listeners.push(({ machines }) => {
+    this.failures = new Failures(random);
+    ctx.listeners.push(({ machines, jobs }) => {
+      for (const id of jobs) if (!ctx.view.jobs.has(id)) this.failures.forgetJob(id);
       for (const name of machines) {
         if (ctx.view.machines.has(name)) continue;
         this.slowness.gone(name);
         this.runningAt.delete(name);
-        this.machines.delete(name);
+        this.failures.forgetMachine(name);
+        this.reports.delete(name);
         this.images.delete(name);
       }
     });
@@ -55,8 +61,10 @@
     const now = new Map<string, Steady>();
     for (const task of r.tasks) {
       const k = taskKey(task.job, task.index, task.attempt);
-      if (task.state === 'running') now.set(k, before?.get(k) ?? t);
       const since = before?.get(k);
+      if (task.state === 'running') now.set(k, since ?? t);
+      if (task.state === 'running' && since !== undefined && t - since >= RUNS_WELL_MS)
+        this.failures.ranLong(task.job);
       const spec = this.ctx.view.jobs.get(task.job)?.spec;
       // A gang runs only as fast as its slowest machine, so its time says nothing about this one.
       if (task.why === 'done' && since !== undefined && spec?.kind === 'array')
@@ -80,7 +88,7 @@
       return;
     this.reports.delete(r.machine);
     this.reports.set(r.machine, r);
-    if (this.reports.size > REPORTS_KEPT) {
+    if (this.reports.size > Math.max(REPORTS_KEPT, 2 * this.ctx.view.machines.size)) {
       const oldest = this.reports.keys().next().value;
       if (oldest !== undefined) this.reports.delete(oldest);
     }
@@ -95,7 +103,6 @@
       set.add(spec.image);
       if (this.imageGb.size > REPORTS_KEPT) this.imageGb.clear();
       this.imageGb.set(spec.image, spec.imageGb);
-      if (t.state === 'running' || t.why === 'done') this.succeeded.add(t.job);
     }
   }
 
@@ -131,38 +138,22 @@
 
   /** A task left a machine; some reasons say something about one or the other. */
   exit(m: MachineRecord, placed: Placed, why: ExitWhy | null): void {
-    const t = this.ctx.clock.now();
-    if (why === 'done') {
-      this.machines.delete(m.name);
-      this.jobs.delete(placed.job);
-      return;
-    }
-    if (why === 'full' || why === 'in_use') this.pause(placed.job, m.name, 3000);
-    if (why === 'unknown') this.jobTrouble(placed.job, m.name, t);
-    if (why !== 'error') return;
-    this.pause(placed.job, m.name, 60_000);
-    this.jobTrouble(placed.job, m.name, t);
-    let trouble = this.machines.get(m.name);
-    if (trouble === undefined)
-      this.machines.set(m.name, (trouble = { jobs: new Set(), failures: 0, since: t }));
-    trouble.failures++;
-    trouble.jobs.add(placed.job);
-  }
-
-  private jobTrouble(job: JobId, machine: MachineName, t: Steady): void {
-    let trouble = this.jobs.get(job);
-    if (trouble === undefined) this.jobs.set(job, (trouble = { machines: new Set(), failures: 0, until: 0 }));
-    trouble.machines.add(machine);
-    trouble.failures++;
-    // One failure is most likely the machine's; several machines in a row say that it is the job.
-    const several = trouble.machines.size;
-    trouble.until = (t + (several <= 1 ? 0 : Math.min(60_000, 2500 * 2 ** (several - 1)))) as Steady;
-    if (this.jobs.size > 5000) this.jobs.clear();
+    const { job } = placed;
+    if (why === 'done') this.failures.done(job, m.name);
+    if (why === 'full' || why === 'in_use') this.pause(job, m.name, PAUSE_AFTER_REFUSAL_MS);
+    if (why === 'error') this.pause(job, m.name, PAUSE_AFTER_ERROR_MS);
+    if (why !== 'error' && why !== 'unknown') return;
+    const known = this.ctx.view.jobs.get(job)?.failing;
+    this.failures.failed(job, m.name, why, this.ctx.clock.now(), known?.rounds);
   }
 
   private pause(job: JobId, machine: MachineName, ms: number): void {
-    if (this.pauses.size > 5000) this.pauses.clear();
-    this.pauses.set(`${job} ${machine}`, (this.ctx.clock.now() + ms) as Steady);
+    const key = `${job} ${machine}`;
+    this.pauses.delete(key);
+    this.pauses.set(key, (this.ctx.clock.now() + ms) as Steady);
+    if (this.pauses.size <= Math.max(PAUSES_KEPT, 2 * this.ctx.view.machines.size)) return;
+    const oldest = this.pauses.keys().next().value;
+    if (oldest !== undefined) this.pauses.delete(oldest);
   }
 
   avoids(job: JobId, machine: MachineName): boolean {
@@ -170,23 +161,20 @@
     return until !== undefined && until > this.ctx.clock.now();
   }
 
-  backedOff(job: JobId): boolean {
-    return (this.jobs.get(job)?.until ?? 0) > this.ctx.clock.now();
+  /** Whether the job fails wherever it runs, as far as this controller or an earlier owner of its team has seen. */
+  fails(job: JobRecord): boolean {
+    return job.failing !== undefined || this.failures.failuresOf(job.spec.id) !== null;
   }
 
-  /**
-   * A machine that fails what it starts. One failed job is not enough when that job fails elsewhere too: a
-   * job submitted with a mistake must not cost the fleet its machines.
-   */
+  /** Whether it fails everywhere and is not to be tried yet. */
+  backedOff(job: JobRecord): boolean {
+    const { clock } = this.ctx;
+    if ((job.failing?.until ?? 0) > clock.wall()) return true;
+    return (this.failures.failuresOf(job.spec.id)?.until ?? 0) > clock.now();
+  }
+
+  /** A machine that fails what it starts, or runs it much slower than others. */
   sick(m: MachineRecord): boolean {
-    if (this.slowness.slow(m.name)) return true;
-    const trouble = this.machines.get(m.name);
-    if (trouble === undefined) return false;
-    let guilty = 0;
-    for (const job of trouble.jobs) {
-      const elsewhere = (this.jobs.get(job)?.machines.size ?? 1) > 1 && !this.succeeded.has(job);
-      if (!elsewhere) guilty++;
-    }
-    return guilty >= 2 || (guilty >= 1 && trouble.failures >= 2);
+    return this.slowness.slow(m.name) || this.failures.isFaulty(m.name);
   }
 }
--- a/src/controller/jobs.ts
+++ b/src/controller/jobs.ts
@@ -8,29 +8,17 @@
   type JobRecord,
   type JobSpec,
   type JobState,
-  type Priority,
+  type JobStatus,
 } from '../core/types.js';
 import { key } from '../core/keys.js';
 import { Unavailable } from '../io/state/client.js';
+import { GroupCommit } from '../io/state/group-commit.js';
 import { URGENCY } from '../io/rate-limiter.js';
 import type { Peer } from '../io/peers.js';
 import type { Op } from '../io/wire.js';
 import type { Context } from './context.js';
 import type { Owner } from './owner/owner.js';
 
-/** A job as its user is shown it. */
-export interface Status {
-  readonly state: JobState;
-  readonly done: number;
-  readonly running: number;
-  /** What the job still waits for. */
-  readonly needs?: readonly JobId[];
-  /** What it inherits from jobs that need it. */
-  readonly inherited?: { readonly priority: Priority; readonly dueInS: number | null };
-  /** The job whose cancellation withdrew this one. */
-  readonly because?: JobId;
-}
-
 /** What became of a submission. */
 export type Submitted =
   | { readonly kind: 'accepted' | 'known'; readonly state: JobState }
@@ -57,23 +45,25 @@
 /** Serves the users: submissions, questions and cancellations. */
 export class Jobs {
   private readonly waiting = new Map<JobId, Set<() => void>>();
+  private readonly submissions: GroupCommit;
 
   constructor(
     private readonly ctx: Context,
     private readonly owner: Owner,
     private readonly peers: ReadonlyMap<string, Peer>,
   ) {
+    this.submissions = new GroupCommit(ctx.state);
     ctx.listeners.push(({ jobs }) => {
       for (const id of jobs) if (!ctx.view.jobs.has(id)) for (const go of this.waiting.get(id) ?? []) go();
     });
   }
 
-  private statusOf(job: JobRecord): Status {
+  private statusOf(job: JobRecord): JobStatus {
     const running = this.ctx.ledger().jobs.get(job.spec.id)?.tasks.size ?? 0;
     return { state: running > 0 ? 'running' : 'pending', done: job.done.count, running };
   }
 
-  private finalStatus(f: FinalRecord): Status {
+  private finalStatus(f: FinalRecord): JobStatus {
     const because = f.because === undefined ? {} : { because: f.because };
     return { state: f.state, done: f.done, running: 0, ...because };
   }
@@ -113,7 +103,7 @@
     const { ctx } = this;
     const { id, team, kind, tasks } = spec;
     const guards = [key.job(id), key.final(id)].map((k) => ({ key: k, version: NO_VERSION }));
-    const result = await ctx.state.txnWithRetry(guards, [op], URGENCY.users);
+    const result = await this.submissions.commit(id, { guards, ops: [op] });
     if (result.kind === 'ok') {
       ctx.follower.applied([op], result.rev);
       ctx.log.info({ job: id, team, kind, tasks, class: spec.class }, 'accepted');
@@ -146,7 +136,7 @@
     for (const id of named) {
       const job = ctx.view.jobs.get(id);
       if (job === undefined) {
-        const final = await ctx.finalStates.read(id);
+        const final = await ctx.finalStates.read(id, ctx.view.rev);
         if (final === undefined) return { kind: 'impossible' };
         if (final.state === 'cancelled') because ??= final.because ?? id;
         continue;
@@ -164,7 +154,7 @@
    * The job's state, as new as anything that any controller has told anybody. Undefined: never accepted.
    * Throws `Unavailable` where that cannot be known now.
    */
-  async find(id: JobId): Promise<Status | undefined> {
+  async find(id: JobId): Promise<JobStatus | undefined> {
     const { ctx } = this;
     const cached = this.ctx.finalStates.cached(id);
     if (cached !== undefined) return this.finalStatus(cached);
@@ -181,13 +171,14 @@
         ...this.statusOf(job),
         ...(d?.kind === 'blocked' ? { needs: d.by } : {}),
         ...this.inheritedBy(job),
+        ...this.failuresOf(job),
       };
     }
-    const final = await this.ctx.finalStates.read(id);
+    const final = await this.ctx.finalStates.read(id, ctx.view.rev);
     return final === undefined ? undefined : this.finalStatus(final);
   }
 
-  private inheritedBy(job: JobRecord): Pick<Status, 'inherited'> {
+  private inheritedBy(job: JobRecord): Pick<JobStatus, 'inherited'> {
     const { dependencies, clock } = this.ctx;
     const urgency = dependencies.all().inherited.get(job.spec.id);
     if (urgency === undefined) return {};
@@ -195,6 +186,13 @@
     return { inherited: { priority, dueInS: dueMs === null ? null : (dueMs - clock.wall()) / 1000 } };
   }
 
+  private failuresOf({ failing }: JobRecord): Pick<JobStatus, 'failing'> {
+    if (failing === undefined) return {};
+    const { rounds, why, machines, until } = failing;
+    const nextTryInS = Math.max(0, (until - this.ctx.clock.wall()) / 1000);
+    return { failing: { rounds, why, machines, nextTryInS } };
+  }
+
   async cancel(id: JobId): Promise<Cancelled> {
     const { ctx } = this;
     const status = await this.find(id);
@@ -236,7 +234,7 @@
 
   private async outcome(id: JobId): Promise<Cancelled> {
     if (this.ctx.view.jobs.has(id)) return { kind: 'later' };
-    const final = await this.ctx.finalStates.read(id);
+    const final = await this.ctx.finalStates.read(id, this.ctx.view.rev);
     return final === undefined ? { kind: 'later' } : { kind: 'final', state: final.state };
   }
 
--- a/src/controller/leader/cloud-inventory.ts
+++ b/src/controller/leader/cloud-inventory.ts
@@ -1,7 +1,7 @@
 /** Keeps the records in step with the cloud: machine types, machines that failed, are unknown, or are to be returned. */
 import { key } from '../../core/keys.js';
 import { partsWithin } from '../../core/records.js';
-import type { MachineName, MachineRecord, MachineType, NodeName } from '../../core/types.js';
+import type { MachineName, MachineRecord, MachineType, NodeName, Steady } from '../../core/types.js';
 import type { CloudClient } from '../../io/cloud.js';
 import { URGENCY } from '../../io/rate-limiter.js';
 import type { ListedMachine, Op } from '../../io/wire.js';
@@ -12,6 +12,9 @@
 import type { UnknownMachines } from './unknown-machines.js';
 
 const LIST_EVERY_MS = 4000;
+/** A list lags by up to so many times its usual lag; and so much longer a machine must be missing. */
+const LAG_TIMES = 2;
+const GONE_MARGIN_S = 4;
 /** Prices move: the types are read again with every so many lists. */
 const TYPES_EVERY = 8;
 /** The cloud returns at most so many machines by one request. */
@@ -20,6 +23,8 @@
 /** Compares the records with the cloud, adopts unknown machines and returns those marked for it. */
 export class CloudInventory {
   private releasing = false;
+  /** When the cloud last listed each machine that has a record. */
+  private readonly listedAt = new Map<MachineName, Steady>();
 
   constructor(
     private readonly ctx: Context,
@@ -39,8 +44,9 @@
       if (!this.membership.isLeader || !ctx.follower.ready) continue;
       try {
         if (round % TYPES_EVERY === 0) await this.refreshTypes();
+        const askedAt = ctx.clock.now();
         const list = await this.cloud.list();
-        if (list !== null) await this.compare(list);
+        if (list !== null) await this.compare(list, askedAt);
       } catch (e) {
         ctx.log.error({ err: e }, 'list loop');
       }
@@ -64,7 +70,7 @@
     await this.transactions.commitEach(ops, URGENCY.starts);
   }
 
-  private async compare(list: readonly ListedMachine[]): Promise<void> {
+  private async compare(list: readonly ListedMachine[], askedAt: Steady): Promise<void> {
     const { ctx } = this;
     const failed: Op[] = [];
     const withoutRecord = new Set<MachineName>();
@@ -80,10 +86,34 @@
       }
     }
     this.unknown.keepListed(withoutRecord);
+    for (const machine of this.takenBack(list, askedAt)) {
+      ctx.log.info({ machine: machine.name }, 'not listed any more');
+      const value: MachineRecord = { ...machine, phase: 'releasing' };
+      failed.push({ key: key.machine(machine.name), value, reason: 'return' });
+    }
     if (failed.length > 0) await this.transactions.commitEach(failed, URGENCY.starts);
     if (this.unknown.size > 0) this.found();
   }
 
+  /**
+   * Machines that the cloud has listed and lists no more. A machine stays listed until it is gone, and a list may be older
+   * than the one before by as much as it lags. What follows is only that the machine is returned: the cloud's answer to
+   * that frees its tasks. Without this a taken machine that is alone in its zone is waited for like one that is cut off.
+   */
+  private takenBack(list: readonly ListedMachine[], askedAt: Steady): MachineRecord[] {
+    const { view, clock, settings } = this.ctx;
+    const now = clock.now();
+    for (const l of list) if (view.machines.has(l.name)) this.listedAt.set(l.name, now);
+    const goneMs = (LAG_TIMES * settings.cloudLimits.list_lag_s + GONE_MARGIN_S) * 1000;
+    const gone: MachineRecord[] = [];
+    for (const [name, at] of this.listedAt) {
+      const machine = view.machines.get(name);
+      if (machine === undefined) this.listedAt.delete(name);
+      else if (askedAt - at > goneMs && machine.phase !== 'releasing') gone.push(machine);
+    }
+    return gone;
+  }
+
   /** Gives unknown machines records, in the slices that have fewest. */
   async adopt(slices: readonly NodeName[]): Promise<void> {
     const { ctx } = this;
--- a/src/controller/leader/fleet-planner.ts
+++ b/src/controller/leader/fleet-planner.ts
@@ -4,6 +4,7 @@
 import { typeAllowed } from '../../core/jobs.js';
 import {
   fits,
+  type JobRecord,
   type JobSpec,
   type MachineName,
   type MachineRecord,
@@ -21,6 +22,9 @@
 /** Beyond the factor that operators set, a boot that never ends is given up so much later. */
 const LOST_BOOT_EXTRA_S = 30;
 
+/** A job that fails everywhere after so many tries is hardly one that only met faulty machines. */
+const ROUNDS_WORTH_RENTING = 2;
+
 /** Makes the leader's plan from the view, the forecast and what is known of machines. */
 export class FleetPlanner {
   private readonly emptySince = new Map<MachineName, Steady>();
@@ -41,12 +45,13 @@
     const machines = [...view.machines.values()];
     this.noteEmpty(machines);
     const plan = planFleet({
-      jobs: ctx.dependencies.all().startable,
+      jobs: ctx.dependencies.all().startable.filter((j) => this.deservesRoom(j)),
       machines,
       rentals: view.rentals.values(),
       ledger: ctx.ledger(),
       types: view.types ?? [],
       owners: new Map([...view.teams].map(([team, r]) => [team, r.owner])),
+      order: ctx.order(),
       usable: (m) => this.isUsable(m),
       movable: (m) => (m.heard ?? 0) >= view.tokenOf(m) && !this.strayed.hasStrayed(m.name),
       yields: ctx.yielding(),
@@ -82,6 +87,12 @@
     return m.phase === 'up' && m.drain === true && m.placed.length === 0;
   }
 
+  /** What fails wherever it runs gets room of its own for its first tries; later ones use what is free. */
+  private deservesRoom({ failing }: JobRecord): boolean {
+    if (failing === undefined) return true;
+    return failing.rounds <= ROUNDS_WORTH_RENTING && failing.until <= this.ctx.clock.wall();
+  }
+
   private isUsable(m: MachineRecord): boolean {
     const { ctx } = this;
     if (m.drain === true) return false;
@@ -107,6 +118,8 @@
     const underWay = new Map<string, number>();
     // A job that waits for others is no work yet: it arrives when the last of them is done.
     for (const j of ctx.dependencies.all().startable) {
+      // What fails wherever it runs says nothing about the room that its class needs.
+      if (j.failing !== undefined) continue;
       this.forecast.arrived(j.spec, j.submitted / 1000);
       const left = j.spec.tasks - j.done.count;
       underWay.set(j.spec.class, (underWay.get(j.spec.class) ?? 0) + left);
--- a/src/controller/leader/unknown-machines.ts
+++ b/src/controller/leader/unknown-machines.ts
@@ -19,7 +19,8 @@
 /** A worker that is there reports again after so long, and before so long. */
 const REPORTS_AGAIN_MS = 700;
 const REPORTS_WITHIN_MS = 30_000;
-const MOST_REPORTERS = 2000;
+/** Bounds the memory that reports of machines which nobody knows can take: several times the largest fleet. */
+const MOST_REPORTERS = 20_000;
 /** A machine that was returned may be listed, and late copies of its reports may come, for so long. */
 const RELEASED_MEMORY_MS = 120_000;
 /** The list lags by up to twice its usual lag; and so long the record of a rental may take. */
@@ -66,7 +67,8 @@
     const before = this.reporters.get(r.machine);
     if (before !== undefined && !newer(r, before)) return false;
     if (before === undefined || now - before.at > REPORTS_WITHIN_MS) {
-      if (this.reporters.size >= MOST_REPORTERS) this.reporters.clear();
+      this.makeRoom(now);
+      this.reporters.delete(r.machine);
       this.reporters.set(r.machine, { session: r.session, seq: r.seq, at: now });
       return false;
     }
@@ -76,6 +78,17 @@
     return true;
   }
 
+  /**
+   * Those that did not report again in time go, and the oldest where that is not enough. All at once they must not: where
+   * thousands report for the first time, none would be remembered by its second report.
+   */
+  private makeRoom(now: Steady): void {
+    for (const [name, { at }] of this.reporters) {
+      if (this.reporters.size < MOST_REPORTERS && now - at <= REPORTS_WITHIN_MS) return;
+      this.reporters.delete(name);
+    }
+  }
+
   /** The cloud lists a machine that has no record. */
   noteListed(l: ListedMachine): void {
     if (this.released.has(l.name)) return;
--- a/src/controller/owner/job-reconciler.ts
+++ b/src/controller/owner/job-reconciler.ts
@@ -1,9 +1,18 @@
 /** Works out which changes the records of jobs need: ends, cancellations and the withdrawal of dependent jobs. */
 import { key } from '../../core/keys.js';
-import { NO_VERSION, type DoneSet, type FinalRecord, type JobId, type JobRecord } from '../../core/types.js';
+import {
+  NO_VERSION,
+  type DoneSet,
+  type FailingRecord,
+  type FinalRecord,
+  type JobId,
+  type JobRecord,
+  type WallMs,
+} from '../../core/types.js';
 import type { Group } from '../../io/state/transactions.js';
 import type { Guard, Op } from '../../io/wire.js';
 import type { Context } from '../context.js';
+import type { Health } from '../health.js';
 import type { SettledResults } from './results.js';
 
 type ResultsByJob = ReadonlyMap<JobId, DoneSet>;
@@ -11,12 +20,18 @@
 /** So many jobs are withdrawn in one pass after one that they need: the rest of the work must not wait for hundreds. */
 const MOST_WITHDRAWN = 16;
 
+/** A record names so many of the machines on which its job failed, the latest. */
+const MOST_MACHINES_NAMED = 3;
+
 /** Makes the changes that records of jobs need. */
 export class JobReconciler {
   /** Jobs whose users have asked this controller to cancel them. */
   private readonly requested = new Set<JobId>();
 
-  constructor(private readonly ctx: Context) {}
+  constructor(
+    private readonly ctx: Context,
+    private readonly health: Health,
+  ) {}
 
   requestCancellation(id: JobId): void {
     this.requested.add(id);
@@ -39,6 +54,33 @@
     };
   }
 
+  /**
+   * Notes in their records which jobs fail wherever they run: another owner goes on with their waits, the leader rents
+   * nothing for them, and users see it. One change for each try that failed, and those grow rare.
+   */
+  noteFailing(open: ResultsByJob): Group[] {
+    const { ctx } = this;
+    const { clock, view } = ctx;
+    const groups: Group[] = [];
+    for (const [id, failures] of this.health.failures.blamed()) {
+      const job = view.jobs.get(id);
+      if (job?.phase !== 'active' || open.has(id) || failures.rounds <= (job.failing?.rounds ?? 0)) continue;
+      const failing: FailingRecord = {
+        rounds: failures.rounds,
+        why: failures.why,
+        machines: [...failures.machines].slice(-MOST_MACHINES_NAMED),
+        until: (clock.wall() + Math.max(0, failures.until - clock.now())) as WallMs,
+      };
+      ctx.log.info({ job: id, ...failing }, 'job fails wherever it runs');
+      const value = ctx.storedJob({ ...job, failing });
+      groups.push({
+        ops: [{ key: key.job(id), value, reason: 'failing' }],
+        guards: [ctx.guard(key.job(id))],
+      });
+    }
+    return groups;
+  }
+
   /** Requests that other controllers have left in the state service. */
   private takeRequestsLeft(ended: ResultsByJob, open: ResultsByJob): Group[] {
     const { ctx } = this;
--- a/src/controller/owner/machine-reconciler.ts
+++ b/src/controller/owner/machine-reconciler.ts
@@ -11,14 +11,14 @@
   type MachineMemory,
   type Wanted,
 } from '../../core/worker-reports.js';
-import type { MachineName, MachineRecord, Placed } from '../../core/types.js';
+import type { MachineName, MachineRecord, Placed, Zone } from '../../core/types.js';
 import type { Group } from '../../io/state/transactions.js';
 import type { Context } from '../context.js';
 import type { Health } from '../health.js';
 import type { MachineSessions } from './machine-sessions.js';
 import type { FoundResults, Results } from './results.js';
 import { EMPTY_STAY_MS, MOST_STAY_MS, SPARE_STAY_MS, SWEEP_MS } from './timing.js';
-import { isUnreachable } from './unreachable.js';
+import { isUnreachable, presenceByZone, type ZonePresence } from './unreachable.js';
 
 /** A change to a machine's record; what only tidies up can wait for starts. */
 export interface MachineChange {
@@ -37,6 +37,18 @@
     private readonly taskLeft: () => void,
   ) {}
 
+  /** What is heard of each zone, worked out when it is first asked for in a pass. */
+  private zones: ReadonlyMap<Zone, ZonePresence> | null = null;
+
+  /** Another pass begins: what was heard may have changed. */
+  beginPass(): void {
+    this.zones = null;
+  }
+
+  private presence(): ReadonlyMap<Zone, ZonePresence> {
+    return (this.zones ??= presenceByZone(this.ctx, this.sessions));
+  }
+
   /** The change that the machine's record needs now, if any; results of its tasks are added to `found`. */
   reconcile(name: MachineName, wanted: Wanted, found: FoundResults): MachineChange | null {
     const { ctx } = this;
@@ -79,7 +91,7 @@
     const { ctx } = this;
     const noticed = memory.report?.noticeS != null;
     const drain = machine.drain === true || noticed || this.health.sick(machine);
-    const unreachable = isUnreachable(ctx, this.sessions, machine, memory);
+    const unreachable = isUnreachable(ctx, machine, memory, () => this.presence());
     const cameUp = machine.phase === 'booting' && memory.report !== null;
     const gone = left.filter((e) => !this.results.mayStay(e) || this.results.isDurable(e));
     const kept = without(machine.placed, gone);
--- a/src/controller/owner/machine-sessions.ts
+++ b/src/controller/owner/machine-sessions.ts
@@ -35,7 +35,6 @@
 
 /** A stop that was sent directly is not sent again for so long: the worker's next report shows what became of it. */
 const STOP_AGAIN_MS = 4000;
-const MOST_STOPS_REMEMBERED = 2000;
 /** From the answer to a direct message, or from its failure, to the next one to the same machine. */
 const NEXT_MESSAGE_MS = 100;
 const RETRY_MESSAGE_MS = 1500;
@@ -47,7 +46,7 @@
   private readonly memories = new Map<MachineName, MachineMemory>();
   /** Machines to which a direct message is under way. */
   private readonly messaged = new Set<MachineName>();
-  /** When a stop was last sent directly. */
+  /** When a stop was last sent directly, the latest last. */
   private readonly stopSentAt = new Map<string, Steady>();
   private readonly reportMs: number;
 
@@ -153,7 +152,11 @@
     const before = this.stopSentAt.get(k);
     const now = this.ctx.clock.now();
     if (before !== undefined && now - before < STOP_AGAIN_MS) return true;
-    if (this.stopSentAt.size > MOST_STOPS_REMEMBERED) this.stopSentAt.clear();
+    for (const [old, at] of this.stopSentAt) {
+      if (now - at < STOP_AGAIN_MS) break;
+      this.stopSentAt.delete(old);
+    }
+    this.stopSentAt.delete(k);
     this.stopSentAt.set(k, now);
     return false;
   }
--- a/src/controller/owner/owner.ts
+++ b/src/controller/owner/owner.ts
@@ -60,7 +60,7 @@
     this.machines = new MachineReconciler(ctx, this.sessions, health, this.results, () => {
       this.placeDue = true;
     });
-    this.jobs = new JobReconciler(ctx);
+    this.jobs = new JobReconciler(ctx, health);
     this.starts = new Starts(ctx, this.sessions, health, this.results, this.machines);
     ctx.listeners.push((changes) => {
       this.noteChanges(changes);
@@ -116,6 +116,7 @@
     const { ctx } = this;
     const wanted = { jobs: ctx.view.jobs, ledger: ctx.ledger() };
     const found: FoundResults = new Map();
+    this.machines.beginPass();
     const urgent: Group[] = [];
     const later: Group[] = [];
     for (const name of work) {
@@ -125,7 +126,8 @@
     const settled = this.results.settle(found);
     // Ends of jobs first of all: other jobs may wait for them.
     const { ends, cancellations } = this.jobs.reconcile(settled);
-    return { now: [...ends, ...urgent, ...cancellations], later: [...later, ...settled.due] };
+    const failing = this.jobs.noteFailing(settled.open);
+    return { now: [...ends, ...urgent, ...cancellations], later: [...failing, ...later, ...settled.due] };
   }
 
   private async placeIfDue(): Promise<boolean> {
--- a/src/controller/owner/preemptor.ts
+++ b/src/controller/owner/preemptor.ts
@@ -1,11 +1,17 @@
 /**
  * Makes room for jobs that have found none for a while: services that are wanted all the time, and jobs within their
- * team's guarantee. At most one machine a pass, so that the next pass sees what came of it.
+ * team's guarantee, and gangs that low-priority work keeps from whole machines. At most one job a pass, so that the next pass sees what came of it.
  */
 import { key } from '../../core/keys.js';
 import type { WaitReason } from '../../core/placement.js';
-import { pickVictims, stopped, withinGuarantee } from '../../core/preemption.js';
-import type { JobId, JobRecord, MachineName, MachineRecord, Steady } from '../../core/types.js';
+import {
+  pickGangVictims,
+  pickVictims,
+  stopped,
+  withinGuarantee,
+  type PreemptInput,
+} from '../../core/preemption.js';
+import type { JobId, JobRecord, MachineName, MachineRecord, Placed, Steady } from '../../core/types.js';
 import type { Group } from '../../io/state/transactions.js';
 import type { Context } from '../context.js';
 
@@ -15,6 +21,9 @@
   readonly until: number;
 }
 
+/** A gang of several tasks: it needs room on several machines at once. */
+const isSeveral = ({ spec }: JobRecord): boolean => spec.kind === 'gang' && spec.tasks > 1;
+
 /** Chooses tasks to stop and keeps the room that they leave for the job that it was made for. */
 export class Preemptor {
   private readonly claims = new Map<MachineName, Claim>();
@@ -32,8 +41,8 @@
     this.claims.delete(machine);
   }
 
-  /** The change that stops tasks for one of the jobs passed over, if any may have tasks stopped for it. */
-  preempt(waitReasons: ReadonlyMap<JobId, WaitReason>, slice: readonly MachineRecord[]): Group | null {
+  /** The changes that stop tasks for one of the jobs passed over, if any may have tasks stopped for it. */
+  preempt(waitReasons: ReadonlyMap<JobId, WaitReason>, slice: readonly MachineRecord[]): Group[] {
     const { ctx } = this;
     this.forgetOld(waitReasons);
     const startable = new Map(ctx.dependencies.all().startable.map((j) => [j.spec.id, j]));
@@ -41,10 +50,10 @@
       if (reason !== 'no_room') continue;
       const job = startable.get(id);
       if (!this.hasWaited(id) || job === undefined || !this.mayPreempt(job)) continue;
-      const group = this.makeRoom(job, slice);
-      if (group !== null) return group;
+      const groups = isSeveral(job) ? this.makeGangRoom(job, slice) : this.makeRoom(job, slice);
+      if (groups.length > 0) return groups;
     }
-    return null;
+    return [];
   }
 
   private forgetOld(waitReasons: ReadonlyMap<JobId, WaitReason>): void {
@@ -67,7 +76,9 @@
 
   private mayPreempt(job: JobRecord): boolean {
     const { spec } = job;
-    if (spec.kind === 'gang' && spec.tasks > 1) return false;
+    // Nothing is stopped for what fails wherever it runs.
+    if (job.failing !== undefined) return false;
+    if (isSeveral(job)) return [...this.claims.values()].every((claim) => claim.job !== spec.id);
     const placed = this.ctx.ledger().jobs.get(spec.id)?.tasks.size ?? 0;
     let claimed = 0;
     for (const claim of this.claims.values()) if (claim.job === spec.id) claimed++;
@@ -75,27 +86,50 @@
     return spec.priority === 'production' || this.isEntitled(job);
   }
 
-  private makeRoom(job: JobRecord, slice: readonly MachineRecord[]): Group | null {
+  private makeRoom(job: JobRecord, slice: readonly MachineRecord[]): Group[] {
+    const found = pickVictims(this.input(job, slice));
+    if (found === null) return [];
+    return [this.stop(job, found.machine, found.victims)];
+  }
+
+  /** A gang starts as a whole, so that all its room is made and kept at once. */
+  private makeGangRoom(job: JobRecord, slice: readonly MachineRecord[]): Group[] {
+    const places = pickGangVictims(this.input(job, slice)) ?? [];
+    const groups: Group[] = [];
+    for (const { machine, victims } of places) {
+      if (victims.length > 0) groups.push(this.stop(job, machine, victims));
+      else this.claim(job, machine);
+    }
+    return groups;
+  }
+
+  private input({ spec }: JobRecord, slice: readonly MachineRecord[]): PreemptInput {
     const { ctx } = this;
-    const { spec } = job;
-    const found = pickVictims({
-      job: spec,
-      jobs: ctx.view.jobs,
-      slice,
-      ledger: ctx.ledger(),
-      teams: ctx.teams,
-      taken: (m) => this.claims.has(m.name),
-    });
-    if (found === null) return null;
-    const { machine, victims } = found;
-    this.claims.set(machine.name, {
-      job: spec.id,
-      until: ctx.clock.now() + ctx.operator.placement.claim_s * 1000,
-    });
+    const taken = (m: MachineRecord) => this.claims.has(m.name);
+    return { job: spec, jobs: ctx.view.jobs, slice, ledger: ctx.ledger(), teams: ctx.teams, taken };
+  }
+
+  private claim({ spec }: JobRecord, machine: MachineRecord): void {
+    const { clock, operator } = this.ctx;
+    const until = clock.now() + operator.placement.claim_s * 1000;
+    this.claims.set(machine.name, { job: spec.id, until });
+  }
+
+  /** The change that stops the victims; the room that they leave is kept for the job. */
+  private stop(job: JobRecord, machine: MachineRecord, victims: readonly Placed[]): Group {
+    const { ctx } = this;
+    this.claim(job, machine);
     const entitled = this.isEntitled(job);
     for (const v of victims)
       ctx.log.info(
-        { job: v.job, tasks: v.tasks, attempt: v.attempt, machine: machine.name, for: spec.id, entitled },
+        {
+          job: v.job,
+          tasks: v.tasks,
+          attempt: v.attempt,
+          machine: machine.name,
+          for: job.spec.id,
+          entitled,
+        },
         'preempt',
       );
     const value: MachineRecord = { ...machine, placed: stopped(machine.placed, victims) };
--- a/src/controller/owner/results.ts
+++ b/src/controller/owner/results.ts
@@ -130,10 +130,13 @@
         continue;
       }
       open.set(id, done);
-      if (now - this.gatheringSince(id) < Math.max(budgetMs, this.gatherMs(job, done))) continue;
+      // One that was taken to fail everywhere is sound after all: that is written at once, with the result that shows it.
+      const { failing, ...sound } = job;
+      const waitMs = failing === undefined ? Math.max(budgetMs, this.gatherMs(job, done)) : 0;
+      if (now - this.gatheringSince(id) < waitMs) continue;
       this.gatheredSince.set(id, now);
       due.push({
-        ops: [{ key: key.job(id), value: ctx.storedJob({ ...job, done }), reason: 'results' }],
+        ops: [{ key: key.job(id), value: ctx.storedJob({ ...sound, done }), reason: 'results' }],
         guards: [ctx.guard(key.job(id))],
       });
     }
@@ -149,6 +152,8 @@
   private gatherMs(job: JobRecord, done: DoneSet): number {
     const { ctx } = this;
     if (!ctx.ownsTeam(job.spec.team)) return 0;
+    // The team waits for its limit: a task counts against it until its result is written.
+    if (!ctx.ledger().withinLimit(job.spec.team, job.spec.demand, 1)) return 0;
     const runsHere = ([index, at]: [TaskIndex, { machine: MachineName }]) => {
       const machine = ctx.view.machines.get(at.machine);
       return machine !== undefined && ctx.isMine(machine) && !isDone(done, index);
--- a/src/controller/owner/starts.ts
+++ b/src/controller/owner/starts.ts
@@ -1,25 +1,20 @@
 /** Plans which waiting tasks start on which of this controller's machines, and commits the starts. */
-import {
-  BUSY_FETCHING,
-  placedOf,
-  schedule,
-  withPlaced,
-  type WaitReason,
-  type Placement,
-} from '../../core/placement.js';
+import { placedOf, withPlaced } from '../../core/placed.js';
+import { BUSY_FETCHING, schedule, type WaitReason, type Placement } from '../../core/placement.js';
 import { key } from '../../core/keys.js';
 import { without } from '../../core/worker-reports.js';
 import {
   attempt,
   type JobId,
   type JobRecord,
+  type JobSpec,
   type MachineName,
   type MachineRecord,
   type Placed,
   type TeamName,
 } from '../../core/types.js';
 import { URGENCY } from '../../io/rate-limiter.js';
-import { commitAll, type Group } from '../../io/state/transactions.js';
+import { GUARDS_PER_OP, GuardSet, commitAll, type Group } from '../../io/state/transactions.js';
 import type { Context } from '../context.js';
 import type { Health } from '../health.js';
 import type { MachineReconciler } from './machine-reconciler.js';
@@ -32,15 +27,20 @@
 const GANG_MEMORY_MS = 600_000;
 /** So long a job waits before the reason is logged, and from then to the next time. */
 const LOG_WAIT_MS = 30_000;
-/** Bounds of the starts planned in one pass; between them as many as can be committed in about the time below. */
-const LEAST_PLANNED = 16;
-const MOST_PLANNED = 64;
+/** Starts planned in one pass at most: a plan takes processor time with each. */
+const MOST_PLANNED = 256;
+/**
+ * Bounds of the machines that one pass puts them on, each of which is a change; between them as many as can be written in
+ * about the time below. Tasks that share a machine share its change, and those of a vast array of small ones are many.
+ */
+const LEAST_MACHINES = 16;
+const MOST_MACHINES = 64;
 const PASS_MS = 2500;
-/** Tasks that share a machine are started by one change; about so many are expected to. */
-const TASKS_PER_CHANGE = 2;
 /** An attempt is made of the revision at which the team's slice got its holder and a counter below this. */
 const ATTEMPT_COUNTER = 2 ** 22;
 
+const rankOfKind = (job: JobSpec): number => (job.kind === 'gang' ? 0 : 1);
+
 /** Plans and commits the starts of one pass. */
 export class Starts {
   /** Why waiting jobs of this controller's teams were passed over last time. */
@@ -64,8 +64,7 @@
   plan(): Plan {
     const placements = this.place();
     if (placements.length > 0) return this.groupsOf(placements);
-    const preemption = this.preemptor.preempt(this.waitReasons, this.slice());
-    return { gangs: [], others: preemption === null ? [] : [preemption] };
+    return { gangs: [], others: this.preemptor.preempt(this.waitReasons, this.slice()) };
   }
 
   /** False: not all were committed. */
@@ -93,9 +92,9 @@
     const mine = ctx.dependencies.all().startable.filter((j) => ctx.ownsTeam(j.spec.team));
     const ended = this.endedTasks();
     const ledger = ctx.ledger();
-    for (const [m, p] of ended) ledger.vacate(m, p, false);
+    for (const { machine, placed, isDurable } of ended) ledger.vacate(machine, placed, false, isDurable);
     const { placements, waitReasons } = schedule({
-      jobs: mine.filter((j) => !this.health.backedOff(j.spec.id)),
+      jobs: mine.filter((j) => !this.health.backedOff(j)),
       slice: this.slice(),
       ledger,
       // A number for each start; the revision at which the team's slice got its holder is put before it below,
@@ -104,35 +103,40 @@
       fetchRank: (m, image) => this.fetchRank(m, image),
       avoid: (job, m) => this.health.avoids(job, m) || this.preemptor.isClaimedByOther(job, m),
       recordRoom: (name) => ctx.recordRoom(ctx.view.machines.get(name)!),
-      most: this.mostPlanned(),
+      most: MOST_PLANNED,
+      mostMachines: this.mostMachines(),
+      order: ctx.order(),
       keepWhole: this.areGangsAbout(),
       yields: ctx.yielding(),
       mayHold: (j) => ctx.mayHold(j),
       overdue: (j) => ctx.clock.wall() - j.submitted > placement.behind_s * 1000,
+      fails: (j) => this.health.fails(j),
       hSlack: placement.h_slack,
     });
-    for (const [m, p] of ended) ledger.vacate(m, p, true);
-    this.waitReasons = waitReasons;
+    for (const { machine, placed, isDurable } of ended) ledger.vacate(machine, placed, true, isDurable);
+    const backedOff = mine.filter((j) => this.health.backedOff(j));
+    this.waitReasons = new Map([...waitReasons, ...backedOff.map((j) => [j.spec.id, 'failing'] as const)]);
     this.logWaiting(mine);
     for (const p of placements) this.preemptor.used(p.machine.name);
     return placements;
   }
 
   /** Tasks that have ended and whose entries are still in their machines' records: their room can be used. */
-  private endedTasks(): [MachineRecord, Placed][] {
-    const ended: [MachineRecord, Placed][] = [];
+  private endedTasks(): EndedTask[] {
+    const ended: EndedTask[] = [];
     for (const name of this.results.machines()) {
       const machine = this.ctx.view.machines.get(name);
       if (machine === undefined) continue;
-      for (const e of this.results.provenOn(machine))
-        ended.push([machine, { ...e.placed, tasks: [e.index] }]);
+      for (const e of this.results.provenOn(machine)) {
+        const placed = { ...e.placed, tasks: [e.index] };
+        ended.push({ machine, placed, isDurable: this.results.isDurable(e) });
+      }
     }
     return ended;
   }
 
-  private mostPlanned(): number {
-    const changes = this.ctx.state.writesWithin(PASS_MS);
-    return Math.max(LEAST_PLANNED, Math.min(MOST_PLANNED, changes * TASKS_PER_CHANGE));
+  private mostMachines(): number {
+    return Math.max(LEAST_MACHINES, Math.min(MOST_MACHINES, this.ctx.state.writesWithin(PASS_MS)));
   }
 
   /** Gangs have been seen of late, in whatever team. */
@@ -192,13 +196,18 @@
   private groupOf(machine: MachineRecord, placements: readonly Placement[]): Group {
     const { ctx } = this;
     const k = key.machine(machine.name);
-    const guards = [ctx.guard(k), ctx.guard(key.slice(machine.owner))];
+    const guards = new GuardSet(ctx.state.settings.txnOps * GUARDS_PER_OP);
+    guards.add([ctx.guard(k), ctx.guard(key.slice(machine.owner))]);
     const gone = this.results.provenOn(machine).filter((e) => this.results.isDurable(e));
     let placed: readonly Placed[] = without(machine.placed, gone);
-    for (const p of placements) {
+    // Gangs first: of a gang no task may be left out.
+    const gangsFirst = [...placements].sort((a, b) => rankOfKind(a.job) - rankOfKind(b.job));
+    for (const p of gangsFirst) {
+      // Tasks of dozens of small jobs on one machine need more guards than a transaction takes: it would be rejected for
+      // ever, and the machine get nothing more. What does not fit is left to the next pass.
+      if (!guards.add([...ctx.teamGuards(p.job.team), ctx.guard(key.job(p.job.id))])) continue;
       const full = attempt(this.epochOf(p.job.team) * ATTEMPT_COUNTER + (p.attempt % ATTEMPT_COUNTER));
       placed = withPlaced(placed, placedOf(p.job, full, [p.index]));
-      guards.push(...ctx.teamGuards(p.job.team), ctx.guard(key.job(p.job.id)));
       this.logPlacement(p, full);
     }
     const value: MachineRecord = {
@@ -207,7 +216,7 @@
       placed,
       ...this.machines.learned(machine, this.sessions.of(machine)),
     };
-    return { ops: [{ key: k, value, reason: 'start' }], guards };
+    return { ops: [{ key: k, value, reason: 'start' }], guards: guards.list() };
   }
 
   /** The revision at which the team's slice got its holder. */
@@ -234,6 +243,13 @@
   }
 }
 
+/** A task that has ended and whose entry is still in its machine's record. */
+interface EndedTask {
+  readonly machine: MachineRecord;
+  readonly placed: Placed;
+  readonly isDurable: boolean;
+}
+
 /** Changes that start tasks; those of gangs first. */
 export interface Plan {
   readonly gangs: readonly Group[];
--- a/src/controller/owner/unreachable.ts
+++ b/src/controller/owner/unreachable.ts
@@ -1,7 +1,7 @@
 /** Tells machines that have failed from machines that the network keeps from their owner. */
 import { ANSWER_WAIT_MS } from '../../core/worker-reports.js';
 import type { MachineMemory } from '../../core/worker-reports.js';
-import type { MachineRecord } from '../../core/types.js';
+import type { MachineRecord, Zone } from '../../core/types.js';
 import type { Context } from '../context.js';
 import type { MachineSessions } from './machine-sessions.js';
 
@@ -21,6 +21,33 @@
 /** Without an answer of the state service for so long nothing is concluded. */
 const STATE_FRESH_MS = 1000;
 
+/** How many of an owner's machines there are in a zone, and whether any of them was heard all along and of late. */
+export interface ZonePresence {
+  readonly machines: number;
+  readonly heard: boolean;
+}
+
+/** What is heard of each zone now; worked out once a pass, since a silent zone has many machines to judge. */
+export function presenceByZone(ctx: Context, sessions: MachineSessions): ReadonlyMap<Zone, ZonePresence> {
+  const zones = new Map<Zone, { machines: number; heard: boolean }>();
+  const { report_s } = ctx.settings.workers;
+  const now = ctx.clock.now();
+  for (const machine of ctx.myMachines()) {
+    if (machine.phase === 'booting') continue;
+    const zone = zones.get(machine.zone) ?? { machines: 0, heard: false };
+    zones.set(machine.zone, zone);
+    zone.machines++;
+    const { heardAt, steadySince } = sessions.of(machine);
+    const steady = steadySince !== null && now - steadySince > turnsAwayMs(report_s, 1);
+    zone.heard ||= steady && now - heardAt < report_s * 1000 * HEARD_INTERVALS;
+  }
+  return zones;
+}
+
+/** A worker that reports to nobody of so many controllers in turn is at the next one after so long. */
+const turnsAwayMs = (reportS: number, hops: number): number =>
+  LATEST_REPORT * reportS * 1000 + hops * HOP_MS + SLACK_MS;
+
 /**
  * Whether the machine was not heard for so long that a worker with nothing but its owner out of reach would have turned
  * to another controller by now, and none has written that it did. Silence proves nothing: what follows from it is that
@@ -28,9 +55,9 @@
  */
 export function isUnreachable(
   ctx: Context,
-  sessions: MachineSessions,
   machine: MachineRecord,
   memory: MachineMemory,
+  zones: () => ReadonlyMap<Zone, ZonePresence>,
 ): boolean {
   if (machine.phase === 'releasing' || ctx.substituteOf(machine) !== null) return false;
   if (machine.phase === 'booting' && memory.report === null) return false;
@@ -41,19 +68,13 @@
   const quietMs = now - memory.heardAt;
   // A worker that has not reported to this owner yet may have to try every other controller first.
   const hops = memory.postedAt === null ? ctx.settings.nodes : 1;
-  const turnsAwayMs = LATEST_REPORT * reportMs + hops * HOP_MS + SLACK_MS;
-  if (quietMs < turnsAwayMs) return false;
+  if (quietMs < turnsAwayMs(report_s, hops)) return false;
   // Where its whole zone is silent, or it is alone there, the network is the more likely cause: then time is given to
   // try every controller, one after the other, and to be written down by one of them. Only those count that were heard
   // all along: when a cut ends, the first that is back says nothing about the others.
-  let others = 0;
-  for (const other of ctx.myMachines()) {
-    if (other.name === machine.name || other.zone !== machine.zone || other.phase === 'booting') continue;
-    others++;
-    const { heardAt, steadySince } = sessions.of(other);
-    const steady = steadySince !== null && now - steadySince > turnsAwayMs;
-    if (steady && now - heardAt < reportMs * HEARD_INTERVALS) return true;
-  }
+  const zone = zones().get(machine.zone);
+  if (zone?.heard === true) return true;
+  const others = (zone?.machines ?? 0) - (machine.phase === 'booting' ? 0 : 1);
   // And another lease: until then its machines may be back at once, while new ones must boot and fetch. Where several
   // are silent together it is hardly they that failed, and what would replace them needs a boot: so much longer they
   // are waited for. Those that did fail are listed as failed by the cloud, and returned for that.
--- a/src/controller/report-router.ts
+++ b/src/controller/report-router.ts
@@ -7,25 +7,14 @@
  * the worker a higher one, such an answer is dropped. Who is kept alive this way is written down, so that
  * nobody takes those machines for dead.
  */
-import type {
-  SubstitutesRecord,
-  Command,
-  MachineName,
-  MachineRecord,
-  Report,
-  Steady,
-  Token,
-} from '../core/types.js';
-import { bytesOf } from '../core/records.js';
-import { key } from '../core/keys.js';
-import { URGENCY } from '../io/rate-limiter.js';
-import type { Op } from '../io/wire.js';
+import type { Command, MachineName, MachineRecord, Report, Steady, Token } from '../core/types.js';
 import type { Context } from './context.js';
 import type { Health } from './health.js';
 import { leaderOf, type Leader } from './leader/leader.js';
 import type { Membership } from './membership.js';
 import type { Owner, ReportAnswer } from './owner/owner.js';
 import type { Availability } from './availability.js';
+import { SubstituteList } from './substitute-list.js';
 
 interface Substituted {
   /** The owner's token; under another one everything begins anew. */
@@ -42,6 +31,8 @@
 /** A worker that does not reach where it was sent is back after so long at the soonest, and at the latest. */
 const BACK_SOONEST_MS = 900;
 const BACK_LATEST_MS = 25_000;
+/** The list of machines answered for others is looked at so often. */
+const LIST_EVERY_MS = 500;
 
 /** Answers workers' reports, or tells them which controller does. */
 export class ReportRouter {
@@ -51,7 +42,7 @@
   /** Workers that were sent on by this controller, alone as it is, and are back since then: nobody else has them. */
   private readonly cameBack = new Map<MachineName, { token: Token; at: Steady }>();
   private readonly tokens = new Map<MachineName, { token: Token; since: Steady }>();
-  private written = '';
+  private readonly list: SubstituteList;
 
   constructor(
     private readonly ctx: Context,
@@ -61,6 +52,7 @@
     private readonly membership: Membership,
     private readonly availability: Availability,
   ) {
+    this.list = new SubstituteList(ctx);
     ctx.listeners.push(({ machines, slices }) => {
       for (const name of slices.size > 0 ? ctx.view.machines.keys() : machines) this.noteToken(name);
       // Those that have just gone are not in the view any more.
@@ -98,6 +90,8 @@
       this.cameBack.delete(m.name);
       return this.owner.report(m, r);
     }
+    // Kept, and told nothing, for the moment until the view holds what its former owner has committed.
+    if (ctx.isBecomingMine(m)) return { kind: 'ok', token: ctx.view.tokenOf(m), commands: [] };
     if (!this.fresh()) return this.answerIsolated(m, r);
     const holder = ctx.holderOf(m);
     if (!this.substitutes(m, r, holder !== null)) return { kind: 'elsewhere', node: holder };
@@ -207,7 +201,8 @@
   async run(): Promise<never> {
     const { ctx } = this;
     for (;;) {
-      await ctx.clock.sleep(500);
+      // A long list takes several changes each time.
+      await ctx.clock.sleep(LIST_EVERY_MS * Math.max(1, this.list.records));
       if (!ctx.follower.ready) continue;
       const reportMs = ctx.settings.workers.report_s * 1000;
       for (const [name, s] of [...this.substituted]) {
@@ -218,23 +213,7 @@
       }
       const lease = this.membership.currentLease;
       if (lease === null) continue;
-      // The record must stay within the limit for a value.
-      const machines: MachineName[] = [];
-      let room = ctx.state.settings.valueBytes - 100;
-      for (const name of [...this.substituted.keys()].sort()) {
-        room -= bytesOf(name) + 1;
-        if (room < 0) break;
-        machines.push(name);
-      }
-      const text = `${lease} ${machines.join(' ')}`;
-      const k = key.substitutes(ctx.settings.node);
-      if (text === this.written || (machines.length === 0 && ctx.view.versionOf(k) === 0)) continue;
-      const value: SubstitutesRecord | undefined = machines.length === 0 ? undefined : { machines, lease };
-      const op: Op = { key: k, value, reason: 'machine_state', ...(value === undefined ? {} : { lease }) };
-      const r = await ctx.state.txn([ctx.guard(k)], [op], URGENCY.users);
-      if (r.kind !== 'ok') continue;
-      ctx.follower.applied([op], r.rev);
-      this.written = text;
+      await this.list.publish(this.substituted.keys(), lease);
     }
   }
 }
--- /dev/null
+++ b/src/controller/substitute-list.ts
@@ -0,0 +1,46 @@
+/**
+ * Keeps the list of machines that this controller answers in their owners' place current in the state service, so that
+ * nobody takes them for dead. It goes on in further records where it does not fit one value.
+ */
+import { key } from '../core/keys.js';
+import { partsWithin } from '../core/records.js';
+import type { MachineName, SubstitutesRecord } from '../core/types.js';
+import { URGENCY } from '../io/rate-limiter.js';
+import type { Op } from '../io/wire.js';
+import type { Context } from './context.js';
+
+/** What a record takes beside the names in it. */
+const RECORD_BYTES = 100;
+
+/** Writes the list whenever it, or the lease that it hangs on, has changed. */
+export class SubstituteList {
+  /** What stands in each record, as text. */
+  private readonly written: string[] = [];
+
+  constructor(private readonly ctx: Context) {}
+
+  /** How many records the list takes now. */
+  get records(): number {
+    return this.written.length;
+  }
+
+  async publish(names: Iterable<MachineName>, lease: number): Promise<void> {
+    const parts = partsWithin([...names].sort(), this.ctx.state.settings.valueBytes - RECORD_BYTES);
+    const last = Math.max(parts.length, this.written.length);
+    for (let part = 0; part < last; part++) await this.publishPart(part, parts[part] ?? [], lease);
+    while (this.written.length > parts.length) this.written.pop();
+  }
+
+  private async publishPart(part: number, machines: readonly MachineName[], lease: number): Promise<void> {
+    const { ctx } = this;
+    const text = `${lease} ${machines.join(' ')}`;
+    const k = key.substitutes(ctx.settings.node, part);
+    if (text === this.written[part] || (machines.length === 0 && ctx.view.versionOf(k) === 0)) return;
+    const value: SubstitutesRecord | undefined = machines.length === 0 ? undefined : { machines, lease };
+    const op: Op = { key: k, value, reason: 'machine_state', ...(value === undefined ? {} : { lease }) };
+    const result = await ctx.state.txn([ctx.guard(k)], [op], URGENCY.users);
+    if (result.kind !== 'ok') return;
+    ctx.follower.applied([op], result.rev);
+    this.written[part] = text;
+  }
+}
--- /dev/null
+++ b/src/core/fleet-reclaim.ts
@@ -0,0 +1,58 @@
+/** Which machines change slice with low-priority work on them, for work of higher priority that the cloud has no room for. */
+import type { Bin, FleetInput, Want } from './fleet.js';
+import { typeAllowed } from './jobs.js';
+import { PRIORITY_RANK, timesFits, type NodeName, type Placed, type Zone } from './types.js';
+
+/** Moves cost changes of the state service, and a plan is made every second or so. */
+const MOST_RECLAIMED = 6;
+
+/** Tasks for which neither a slice nor the cloud has room. */
+export interface RefusedWant {
+  readonly want: Want;
+  readonly tasks: number;
+}
+
+/** Whether the machine runs nothing but low-priority tasks that end by themselves: whoever owns it may stop them. */
+const isReclaimable = (placed: readonly Placed[]): boolean =>
+  placed.length > 0 && placed.every((p) => p.kind === 'array' && p.priority === 'low');
+
+/**
+ * Machines to move so that their new owner can stop what is on them, which only an owner may. Without it the background
+ * work of a team without a guarantee kept whole machines for minutes that gangs of high priority waited for.
+ */
+export function reclaimed(
+  input: FleetInput,
+  bins: readonly Bin[],
+  refused: readonly RefusedWant[],
+): { bin: Bin; to: NodeName }[] {
+  const types = new Map(input.types.map((t) => [t.name, t]));
+  const out: { bin: Bin; to: NodeName }[] = [];
+  for (const { want, tasks } of refused) {
+    const { spec, node } = want;
+    if (PRIORITY_RANK[spec.priority] >= PRIORITY_RANK.normal) continue;
+    const places = (b: Bin): number => {
+      if (b.owner === node || b.real?.phase !== 'up' || !input.movable(b.real)) return 0;
+      if (!isReclaimable(b.real.placed) || out.some((x) => x.bin === b)) return 0;
+      if (!typeAllowed(spec, b.type) || (b.spot && !spec.spot) || (spec.zone ?? b.zone) !== b.zone) return 0;
+      return timesFits(spec.demand, types.get(b.type)!.capacity);
+    };
+    const zone = want.zone ?? (spec.oneZone ? zoneWithMost(bins, places) : null);
+    let left = tasks;
+    for (const bin of bins) {
+      if (left <= 0 || out.length >= MOST_RECLAIMED) break;
+      const n = zone === null || bin.zone === zone ? places(bin) : 0;
+      if (n === 0) continue;
+      out.push({ bin, to: node });
+      left -= n;
+    }
+  }
+  return out;
+}
+
+function zoneWithMost(bins: readonly Bin[], places: (b: Bin) => number): Zone | null {
+  const sums = new Map<Zone, number>();
+  for (const b of bins) sums.set(b.zone, (sums.get(b.zone) ?? 0) + places(b));
+  let best: Zone | null = null;
+  for (const [zone, sum] of sums) if (best === null || sum > sums.get(best)!) best = zone;
+  return best;
+}
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -6,7 +6,8 @@
 import { WINDOW, typeAllowed, zoneCap } from './jobs.js';
 import type { JobPlacement, Ledger } from './ledger.js';
 import { levelled } from './fleet-levelling.js';
-import { jobOrder } from './placement.js';
+import { reclaimed, type RefusedWant } from './fleet-reclaim.js';
+import { jobOrder, type OrderContext } from './job-order.js';
 import {
   NOTHING,
   PRIORITY_RANK,
@@ -41,6 +42,7 @@
   readonly ledger: Ledger;
   readonly types: readonly MachineType[];
   readonly owners: ReadonlyMap<TeamName, NodeName>;
+  readonly order: Omit<OrderContext, 'hasTasks'>;
   /** Up, reporting and not draining; or booting and not overdue. */
   readonly usable: (m: MachineRecord) => boolean;
   /** Its owner has shown it its token: one that hears nobody must not go from slice to slice, each time anew. */
@@ -112,12 +114,9 @@
   return out.sort((a, b) => a.cost - b.cost);
 }
 
-/** Plans moves, rentals and returns; pure, and made anew from the present state each time. */
-export function planFleet(input: FleetInput): FleetPlan {
+/** Machines that are there or being rented, with the room that they have now. */
+function binsOf(input: FleetInput): Bin[] {
   const { ledger } = input;
-  const waiting = [...input.jobs]
-    .filter((j) => j.phase === 'active' && input.owners.has(j.spec.team))
-    .sort(jobOrder);
   const bins: Bin[] = [];
   const typeOf = new Map(input.types.map((t) => [t.name, t]));
   for (const m of input.machines) {
@@ -147,6 +146,16 @@
         taken: 0,
       });
   }
+  return bins;
+}
+
+/** Plans moves, rentals and returns; pure, and made anew from the present state each time. */
+export function planFleet(input: FleetInput): FleetPlan {
+  const { ledger } = input;
+  const waiting = [...input.jobs]
+    .filter((j) => j.phase === 'active' && input.owners.has(j.spec.team))
+    .sort(jobOrder({ ...input.order, hasTasks: (id) => ledger.jobs.has(id) }));
+  const bins = binsOf(input);
   const perZone = new Map<Zone, number>();
   for (const b of bins) perZone.set(b.zone, (perZone.get(b.zone) ?? 0) + 1);
 
@@ -157,7 +166,7 @@
   const moves: { machine: MachineRecord; to: NodeName }[] = [];
   const rentals: RentalNeed[] = [];
   /** Those that wait for room that cannot be rented now. */
-  const refusedWants: Want[] = [];
+  const refusedWants: RefusedWant[] = [];
   const isUp = (b: Bin) => b.real?.phase === 'up';
   /** Another slice does not need it now. */
   const spare = (b: Bin) => isUp(b) && b.taken === 0 && input.movable(b.real!);
@@ -232,7 +241,7 @@
         }
       }
       if (choice === null) {
-        refusedWants.push(w);
+        refusedWants.push({ want: w, tasks: left });
         return;
       }
       rentals.push({ type: choice.type.name, zone: choice.zone, spot: choice.spot, owner: node });
@@ -327,7 +336,10 @@
   for (const w of rest) {
     if (w.spec.kind === 'gang' && !keeping.has(w)) {
       const at = gangZone(w.spec, (b) => b.owner === w.node || spare(b));
-      if (at === null) continue;
+      if (at === null) {
+        refusedWants.push({ want: w, tasks: w.tasks });
+        continue;
+      }
       w.zone = at.zone;
     }
     fillMore(w);
@@ -340,7 +352,7 @@
     w.tasks -= fill(w, w.tasks, () => true);
     fillMore(w);
   }
-  for (const { bin, to } of refusedWants.length > 0 ? levelled(input, bins, rest) : [])
+  for (const { bin, to } of movesWhileRefused(input, bins, rest, refusedWants))
     moves.push({ machine: bin.real!, to });
   const releases: MachineRecord[] = [];
   for (const b of open)
@@ -348,10 +360,25 @@
   return { moves, rentals, releases };
 }
 
-/** Tasks that could be started now, as far as the job tells. */
-const openCount = (j: JobRecord, placement: JobPlacement | undefined): number =>
-  Math.max(0, Math.min(j.spec.tasks, j.done.base + WINDOW) - j.done.count - (placement?.tasks.size ?? 0));
+/** Tasks that could be started now, as far as the job tells; of one that fails everywhere, one at a time. */
+function openCount(j: JobRecord, placement: JobPlacement | undefined): number {
+  const placed = placement?.tasks.size ?? 0;
+  const open = Math.max(0, Math.min(j.spec.tasks, j.done.base + WINDOW) - j.done.count - placed);
+  return j.failing === undefined ? open : Math.min(open, Math.max(0, 1 - placed));
+}
 
 /** The zone that the job's tasks must share with those placed already. */
 const oneZoneOf = (spec: JobSpec, zones: ReadonlyMap<Zone, number>): Zone | null =>
   spec.oneZone ? ([...zones].find(([, n]) => n > 0)?.[0] ?? null) : null;
+
+/** Busy machines that change slice while the cloud has no room: for higher priorities first, then to level shares. */
+function movesWhileRefused(
+  input: FleetInput,
+  bins: readonly Bin[],
+  rest: readonly Want[],
+  refused: readonly RefusedWant[],
+): { bin: Bin; to: NodeName }[] {
+  if (refused.length === 0) return [];
+  const toReclaim = reclaimed(input, bins, refused);
+  return toReclaim.length > 0 ? toReclaim : levelled(input, bins, rest);
+}
--- a/src/core/keys.ts
+++ b/src/core/keys.ts
@@ -41,8 +41,9 @@
   slice: (name: string) => PREFIX.slice + encodeURIComponent(name),
   session: (node: string) => PREFIX.session + encodeURIComponent(node),
   rental: (name: string) => PREFIX.rental + name,
-  /** Machines that a controller answers in place of their owners. */
-  substitutes: (node: string) => PREFIX.substitutes + encodeURIComponent(node),
+  /** Machines that a controller answers in place of their owners; a long list goes on in further parts. */
+  substitutes: (node: string, part = 0) =>
+    PREFIX.substitutes + encodeURIComponent(node) + (part === 0 ? '' : `/${part}`),
   cancellation: (id: JobId) => PREFIX.cancellation + id,
   leader: LEADER,
   /** The list of machine types; what does not fit into one value goes on in `moreTypes`. */
@@ -74,7 +75,10 @@
   [PREFIX.slice, (rest) => ({ kind: 'slice', slice: nodeName(decodeURIComponent(rest)) })],
   [PREFIX.session, (rest) => ({ kind: 'session', node: nodeName(decodeURIComponent(rest)) })],
   [PREFIX.rental, (rest) => ({ kind: 'rental', rental: rest })],
-  [PREFIX.substitutes, (rest) => ({ kind: 'substitutes', node: nodeName(decodeURIComponent(rest)) })],
+  [
+    PREFIX.substitutes,
+    (rest) => ({ kind: 'substitutes', node: nodeName(decodeURIComponent(rest.split('/')[0]!)) }),
+  ],
   [PREFIX.cancellation, (rest) => ({ kind: 'cancellation', job: jobId(rest) })],
   [PREFIX.moreTypes, () => ({ kind: 'types' })],
   [PREFIX.final, (rest) => ({ kind: 'final', job: jobId(rest) })],
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -144,14 +144,27 @@
     if (job.tasks.size === 0) this.jobs.delete(p.job);
   }
 
-  /** Counts a task that is proved gone, but still stands in its machine's record, as not there; or as there again. */
-  vacate(m: { name: MachineName }, p: Placed, there: boolean): void {
-    this.sum(m, p, there ? 1 : -1);
+  /**
+   * Counts a task that is proved gone, but still stands in its machine's record, as not there; or as there again. Its part
+   * of the team's limit is free only once its result is durable: until then a new owner may have to start it again.
+   */
+  vacate(m: { name: MachineName }, p: Placed, there: boolean, isDurable: boolean): void {
+    const n = p.tasks.length * (there ? 1 : -1);
+    this.sumMachine(m, p, n);
+    if (isDurable) this.sumTeam(p, n);
   }
 
   private sum(m: { name: MachineName }, p: Placed, times: number): void {
     const n = p.tasks.length * times;
+    this.sumMachine(m, p, n);
+    this.sumTeam(p, n);
+  }
+
+  private sumMachine(m: { name: MachineName }, p: Placed, n: number): void {
     this.free.set(m.name, plus(this.free.get(m.name) ?? NOTHING, p.demand, -n));
+  }
+
+  private sumTeam(p: Placed, n: number): void {
     let t = this.teamSums.get(p.team);
     if (t === undefined) {
       t = { used: NOTHING, lasting: NOTHING, dominant: 0, tasks: 0 };
--- /dev/null
+++ b/src/core/placed.ts
@@ -0,0 +1,24 @@
+/** Entries of machine records: tasks of one job and one attempt. */
+import type { Attempt, JobSpec, Placed, TaskIndex } from './types.js';
+
+/** The entry of a machine's record for tasks of a job. */
+export function placedOf(spec: JobSpec, attempt: Attempt, tasks: readonly TaskIndex[]): Placed {
+  return {
+    job: spec.id,
+    team: spec.team,
+    kind: spec.kind,
+    priority: spec.priority,
+    demand: spec.demand,
+    attempt,
+    tasks,
+  };
+}
+
+/** Adds tasks to what a machine holds; those of one job and attempt stand together. */
+export function withPlaced(placed: readonly Placed[], add: Placed): Placed[] {
+  const out = [...placed];
+  const at = out.findIndex((p) => p.job === add.job && p.attempt === add.attempt && p.stop === add.stop);
+  if (at < 0) out.push(add);
+  else out[at] = { ...out[at]!, tasks: [...out[at]!.tasks, ...add.tasks] };
+  return out;
+}
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,7 +4,9 @@
  */
 import { fitness } from './drfh.js';
 import { openTasks, typeAllowed, zoneCap } from './jobs.js';
+import { jobOrder, type OrderContext } from './job-order.js';
 import type { Ledger } from './ledger.js';
+import { placedOf } from './placed.js';
 import { TASK_BYTES, entryBytes } from './records.js';
 import {
   PRIORITY_RANK,
@@ -18,7 +20,6 @@
   type JobSpec,
   type MachineRecord,
   type MachineName,
-  type Placed,
   type TaskIndex,
   type TeamName,
   type Zone,
@@ -35,10 +36,6 @@
   readonly fetch: number;
 }
 
-/** For each task that an array has left; a task that ends a second later is no harm, a job that ends late is. */
-const HEAD_START_MS = 800;
-const MOST_HEAD_START_MS = 80_000;
-
 /** What a further record to write counts among machines that are alike otherwise: less than a fetch rank. */
 const WRITE_TIE = 0.5;
 
@@ -58,7 +55,10 @@
   readonly avoid: (job: JobId, machine: MachineName) => boolean;
   /** How many bytes a record has left for further tasks (its size is limited). */
   readonly recordRoom: (machine: MachineName) => number;
+  /** So many tasks are placed at most, on so many machines: each of these is a change to write. */
   readonly most: number;
+  readonly mostMachines: number;
+  readonly order: Omit<OrderContext, 'hasTasks'>;
   /** Leaves empty ordinary machines to gangs that wait for them, since it may use spot machines. */
   readonly yields: (job: JobRecord) => boolean;
   /** There are jobs that need whole machines, so empty ones are opened last. */
@@ -67,12 +67,14 @@
   readonly mayHold: (job: JobRecord) => boolean;
   /** The job has waited too long to be left behind a gang that waits for its team's limit. */
   readonly overdue: (job: JobRecord) => boolean;
+  /** The job fails wherever it runs: of its tasks only one is tried at a time. */
+  readonly fails: (job: JobRecord) => boolean;
   /** Machines whose H differs by less than this count as fitting alike. */
   readonly hSlack: number;
 }
 
 /** Why a job of the team was passed over: for the status command and the logs. */
-export type WaitReason = 'team_limit' | 'no_room' | 'old_attempt' | 'behind_gang';
+export type WaitReason = 'team_limit' | 'no_room' | 'old_attempt' | 'behind_gang' | 'failing';
 
 /** The starts of one pass, and why the other jobs wait. */
 export interface ScheduleResult {
@@ -80,23 +82,6 @@
   readonly waitReasons: ReadonlyMap<JobId, WaitReason>;
 }
 
-/**
- * How much later a job counts as due than it is. By due time alone a backlog makes all arrays of a team late, the small
- * ones behind the large; those with less left to do go before, but only so far that none waits for ever.
- */
-function headStartMs({ spec, done }: JobRecord): number {
-  if (spec.kind !== 'array') return 0;
-  return Math.min(MOST_HEAD_START_MS, (spec.tasks - done.count) * HEAD_START_MS);
-}
-
-/** The order of jobs within a team: by priority, then by due time. */
-export function jobOrder(a: JobRecord, b: JobRecord): number {
-  const rank = PRIORITY_RANK[a.spec.priority] - PRIORITY_RANK[b.spec.priority];
-  if (rank !== 0) return rank;
-  const due = (j: JobRecord) => j.submitted + (j.spec.deadlineS ?? 60) * 1000 + headStartMs(j);
-  return due(a) - due(b) || (a.spec.id < b.spec.id ? -1 : 1);
-}
-
 interface Room {
   readonly m: MachineRecord;
   /** What its record has left, and the jobs that this pass has given an entry there. */
@@ -110,40 +95,57 @@
   heldFor: JobSpec | null;
 }
 
+/** The active jobs of each team, in the order in which they are served. */
+function queuesByTeam(
+  jobs: Iterable<JobRecord>,
+  order: (a: JobRecord, b: JobRecord) => number,
+): Map<TeamName, JobRecord[]> {
+  const queues = new Map<TeamName, JobRecord[]>();
+  for (const job of jobs) {
+    if (job.phase !== 'active') continue;
+    const queue = queues.get(job.spec.team);
+    if (queue === undefined) queues.set(job.spec.team, [job]);
+    else queue.push(job);
+  }
+  for (const queue of queues.values()) queue.sort(order);
+  return queues;
+}
+
+/** The least that any of the jobs asks for of each resource; null where there are none. */
+function leastDemand(queues: Iterable<readonly JobRecord[]>): Amounts | null {
+  let least: Amounts | null = null;
+  for (const queue of queues)
+    for (const { spec } of queue) {
+      const known: Amounts = least ?? spec.demand;
+      const { demand } = spec;
+      least = [Math.min(demand[0], known[0]), Math.min(demand[1], known[1]), Math.min(demand[2], known[2])];
+    }
+  return least;
+}
+
+/** Most machines are full most of the time: only those are looked at that can take the least of the demands. */
+function openRooms({ slice, ledger, recordRoom }: ScheduleInput, least: Amounts | null): Room[] {
+  if (least === null) return [];
+  const open = slice.filter((m) => fits(least, ledger.free.get(m.name)!));
+  return open.map((m) => ({
+    m,
+    bytes: recordRoom(m.name),
+    entries: new Set(),
+    used: m.placed.length,
+    fetches: new Set(),
+    heldFor: null,
+  }));
+}
+
 /** Places waiting tasks; the ledger is left as it was. */
 export function schedule(input: ScheduleInput): ScheduleResult {
   const { ledger } = input;
   const placements: Placement[] = [];
   const waitReasons = new Map<JobId, WaitReason>();
 
-  const queues = new Map<TeamName, JobRecord[]>();
-  for (const j of input.jobs) {
-    if (j.phase !== 'active') continue;
-    const q = queues.get(j.spec.team);
-    if (q === undefined) queues.set(j.spec.team, [j]);
-    else q.push(j);
-  }
-  for (const q of queues.values()) q.sort(jobOrder);
-  // Most machines are full most of the time: only those are looked at that can take the least of the demands.
-  let least: Amounts | null = null;
-  for (const q of queues.values()) {
-    for (const { spec } of q) {
-      const d: Amounts = spec.demand;
-      const l: Amounts = least ?? d;
-      least = [Math.min(d[0], l[0]), Math.min(d[1], l[1]), Math.min(d[2], l[2])];
-    }
-  }
-  const rooms: Room[] = [];
-  for (const m of input.slice)
-    if (least !== null && fits(least, ledger.free.get(m.name)!))
-      rooms.push({
-        m,
-        bytes: input.recordRoom(m.name),
-        entries: new Set(),
-        used: m.placed.length,
-        fetches: new Set(),
-        heldFor: null,
-      });
+  const order = jobOrder({ ...input.order, hasTasks: (id) => ledger.jobs.has(id) });
+  const queues = queuesByTeam(input.jobs, order);
+  const rooms = openRooms(input, leastDemand(queues.values()));
   const next = new Map<JobId, Iterator<TaskIndex>>();
   const attempts = new Map<JobId, Attempt>();
 
@@ -255,6 +257,7 @@
   const put = (spec: JobSpec, index: TaskIndex, room: Room, att: Attempt, share: number, h: number) => {
     const fetch = rankOf(room, spec.image);
     if (fetch > 0) room.fetches.add(spec.image);
+    machines.add(room.m.name);
     placements.push({ job: spec, index, machine: room.m, attempt: att, share, h, fetch });
     room.bytes -= TASK_BYTES + (room.entries.has(spec.id) ? 0 : entryBytes(spec));
     room.entries.add(spec.id);
@@ -314,6 +317,7 @@
         break;
       }
     }
+    if (placement !== undefined && input.fails(j)) return 'failing';
     if (!ledger.withinLimit(spec.team, spec.demand, 1)) return 'team_limit';
     const zones = placement?.zones ?? new Map<Zone, number>();
     const only = spec.oneZone ? ([...zones].find(([, n]) => n > 0)?.[0] ?? null) : null;
@@ -327,7 +331,8 @@
     return null;
   };
 
-  while (queues.size > 0 && placements.length < input.most) {
+  const machines = new Set<MachineName>();
+  while (queues.size > 0 && placements.length < input.most && machines.size < input.mostMachines) {
     let team: TeamName | null = null;
     let share = Number.POSITIVE_INFINITY;
     for (const name of queues.keys()) {
@@ -374,25 +379,3 @@
   for (const p of placements) ledger.remove(p.machine, placedOf(p.job, p.attempt, [p.index]));
   return { placements, waitReasons };
 }
-
-/** The entry of a machine's record for tasks of a job. */
-export function placedOf(spec: JobSpec, attempt: Attempt, tasks: readonly TaskIndex[]): Placed {
-  return {
-    job: spec.id,
-    team: spec.team,
-    kind: spec.kind,
-    priority: spec.priority,
-    demand: spec.demand,
-    attempt,
-    tasks,
-  };
-}
-
-/** Adds tasks to what a machine holds; those of one job and attempt stand together. */
-export function withPlaced(placed: readonly Placed[], add: Placed): Placed[] {
-  const out = [...placed];
-  const at = out.findIndex((p) => p.job === add.job && p.attempt === add.attempt && p.stop === add.stop);
-  if (at < 0) out.push(add);
-  else out[at] = { ...out[at]!, tasks: [...out[at]!.tasks, ...add.tasks] };
-  return out;
-}
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -10,6 +10,7 @@
   PRIORITY_RANK,
   fits,
   plus,
+  timesFits,
   type JobId,
   type JobRecord,
   type JobSpec,
@@ -35,6 +36,8 @@
 function beyondGuarantee(team: Team | undefined, ledger: Ledger): boolean {
   if (team === undefined) return true;
   const used = ledger.used(team.name);
+  // All that a team without any guarantee runs is beyond it.
+  if (team.guarantee.every((amount) => amount === 0)) return used.some((amount) => amount > 0);
   return [CPU, GPU].some(
     (r) => team.guarantee[r as 0 | 2] > 0 && used[r as 0 | 2] > team.guarantee[r as 0 | 2],
   );
@@ -98,6 +101,57 @@
   return best;
 }
 
+/** A machine on which tasks of a gang are to start, and what has to go for them. */
+export interface GangPlace {
+  readonly machine: MachineRecord;
+  readonly victims: readonly Placed[];
+}
+
+/** Tasks that the machine can take of a gang, now or once its low-priority work is gone, and what that loses. */
+function gangPlaceOn(machine: MachineRecord, { job, jobs, ledger }: PreemptInput) {
+  const free = ledger.free.get(machine.name)!;
+  const victims = machine.placed.filter((p) => p.priority === 'low' && p.kind === 'array' && p.stop !== true);
+  const now = timesFits(job.demand, free);
+  const all = victims.reduce((room, p) => plus(room, p.demand, p.tasks.length), free);
+  const later = timesFits(job.demand, all);
+  if (later <= now) return { machine, victims: [], places: now, cost: 0 };
+  const cost = victims.reduce((sum, p) => sum + loss(p, jobs.get(p.job)), 0);
+  return { machine, victims, places: later, cost };
+}
+
+/**
+ * Machines of one slice on which a whole gang fits once low-priority work there is gone, with the least lost; null where
+ * there are not enough. Only the lowest priority gives way to gangs: they take whole machines, and many at once.
+ */
+export function pickGangVictims(input: PreemptInput): GangPlace[] | null {
+  const { job } = input;
+  if (PRIORITY_RANK[job.priority] >= PRIORITY_RANK.normal) return null;
+  const able = input.slice.filter(
+    (m) =>
+      typeAllowed(job, m.type) && (!m.spot || job.spot) && (job.zone ?? m.zone) === m.zone && !input.taken(m),
+  );
+  const places = able
+    .map((m) => gangPlaceOn(m, input))
+    .filter((p) => p.places > 0)
+    .sort((a, b) => a.cost / a.places - b.cost / b.places);
+  const zones = job.oneZone ? [...new Set(able.map((m) => m.zone))].sort() : [null];
+  let best: { places: typeof places; cost: number } | null = null;
+  for (const zone of zones) {
+    const chosen: typeof places = [];
+    let left = job.tasks;
+    let cost = 0;
+    for (const place of places) {
+      if (left <= 0) break;
+      if (zone !== null && place.machine.zone !== zone) continue;
+      chosen.push(place);
+      left -= place.places;
+      cost += place.cost;
+    }
+    if (left <= 0 && (best === null || cost < best.cost)) best = { places: chosen, cost };
+  }
+  return best === null ? null : best.places.map(({ machine, victims }) => ({ machine, victims }));
+}
+
 /** What a machine holds once the victims are marked to go; entries of which only a part goes are split. */
 export function stopped(placed: readonly Placed[], victims: readonly Placed[]): Placed[] {
   return placed.flatMap((p) => {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -169,6 +169,26 @@
 /** A job's state as its user is told. */
 export type JobState = 'pending' | 'running' | FinalState;
 
+/** A job as its user is shown it. */
+export interface JobStatus {
+  readonly state: JobState;
+  readonly done: number;
+  readonly running: number;
+  /** What the job still waits for. */
+  readonly needs?: readonly JobId[];
+  /** What it inherits from jobs that need it. */
+  readonly inherited?: { readonly priority: Priority; readonly dueInS: number | null };
+  /** The job whose cancellation withdrew this one. */
+  readonly because?: JobId;
+  /** How often, with what and where it failed, and when it is tried next. */
+  readonly failing?: {
+    readonly rounds: number;
+    readonly why: ExitWhy;
+    readonly machines: readonly MachineName[];
+    readonly nextTryInS: number;
+  };
+}
+
 /** What the state service keeps of an unfinished job. */
 export interface JobRecord {
   readonly spec: JobSpec;
@@ -176,6 +196,19 @@
   /** Tasks below `base` are done; of those from it on, the ones whose bit is set. */
   readonly done: DoneSet;
   readonly submitted: WallMs;
+  /** It fails wherever it runs; gone with the next task that is done. */
+  readonly failing?: FailingRecord;
+}
+
+/** What a job's record says of its failures, so that another owner goes on with its waits, and its user can see them. */
+export interface FailingRecord {
+  /** How often it was tried and failed since it is taken to fail everywhere. */
+  readonly rounds: number;
+  readonly why: ExitWhy;
+  /** The machines where it failed last. */
+  readonly machines: readonly MachineName[];
+  /** It is not tried again before. */
+  readonly until: WallMs;
 }
 
 /** Which tasks of a job are done. */
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -9,6 +9,7 @@
   token,
   version,
   revision,
+  type Incarnation,
   type JobId,
   type JobRecord,
   type SubstitutesRecord,
@@ -52,8 +53,11 @@
   readonly slices = new Map<string, SliceRecord>();
   readonly rentals = new Map<string, RentalRecord>();
   readonly cancellations = new Set<JobId>();
-  /** By controller: the machines that reach it and not their owner. */
-  readonly substitutes = new Map<string, ReadonlySet<MachineName>>();
+  /** By key: a controller, and machines that reach it and not their owner. */
+  readonly substitutes = new Map<
+    string,
+    { readonly node: string; readonly machines: ReadonlySet<MachineName> }
+  >();
   leader: LeaderRecord | null = null;
   types: readonly MachineType[] | null = null;
   /** Machines whose records changed since somebody last took the set in; see `Context.ledger`. */
@@ -79,6 +83,16 @@
     return token(Math.max(this.sliceVersions.get(m.owner) ?? NO_VERSION, m.floor));
   }
 
+  /**
+   * Whether the process holds the slice, and this view has all that its holders before have committed. A process that
+   * gives itself a slice knows so from the answer, before the watch has told of the last starts of the one before it: it
+   * would start those tasks once more.
+   */
+  isHeldBy(slice: string, incarnation: Incarnation): boolean {
+    if (this.slices.get(slice)?.incarnation !== incarnation) return false;
+    return (this.sliceVersions.get(slice) ?? NO_VERSION) <= this.rev;
+  }
+
   /** Applies one change unless a newer one to the same key is known. True if it changed anything. */
   apply(c: Change): boolean {
     // The watch has told all up to there. The answer to a write of this process may come later than that: then the key
@@ -144,8 +158,11 @@
         set(this.rentals, parsed.rental);
         break;
       case 'substitutes':
-        if (value === undefined) this.substitutes.delete(parsed.node);
-        else this.substitutes.set(parsed.node, new Set((value as SubstitutesRecord).machines));
+        if (value === undefined) this.substitutes.delete(k);
+        else {
+          const machines = new Set((value as SubstitutesRecord).machines);
+          this.substitutes.set(k, { node: parsed.node, machines });
+        }
         break;
       case 'cancellation':
         if (value === undefined) this.cancellations.delete(parsed.job);
--- a/src/io/state/client.ts
+++ b/src/io/state/client.ts
@@ -1,13 +1,13 @@
 /** The client of the state service: paced requests, leases, transactions, listings and the watch. */
 import type { Clock } from '../../core/clock.js';
 import { WATCHED_PREFIX } from '../../core/keys.js';
-import { NO_VERSION, type Revision, type Version } from '../../core/types.js';
+import { NO_VERSION, revision, type Revision, type Version } from '../../core/types.js';
 import type { Change } from '../../core/view.js';
 import type { Method, Reply, Transport } from '../http.js';
 import { RateLimiter, URGENCY, type Urgency } from '../rate-limiter.js';
 import * as wire from '../wire.js';
 import type { Guard, Op } from '../wire.js';
-import { Usage } from './usage.js';
+import { Usage, type RequestKind } from './usage.js';
 
 /** The limits of the state service, and how many controllers share them. */
 export interface StateSettings {
@@ -36,7 +36,22 @@
 /** Something cannot be known or done now: come back later. */
 export class Unavailable extends Error {}
 
+interface StateRequest {
+  readonly kind: RequestKind;
+  readonly method: Method;
+  readonly path: string;
+  readonly body?: unknown;
+  readonly urgency: Urgency;
+  /** Changes that it makes. */
+  readonly writes?: number;
+}
+
 const TIMEOUT_MS = 2000;
+/**
+ * The part of this process's requests that may be spent on waiting for changes. Each change ends a wait, and while many
+ * controllers write many small ones, all requests went into that, and users' questions were refused.
+ */
+const WATCH_PART = 0.3;
 /** How often a transaction that a user waits for is sent again after a refusal. */
 const MOST_RETRIES = 2;
 
@@ -71,11 +86,7 @@
   }
 
   private async call(
-    method: Method,
-    path: string,
-    body: unknown,
-    urgency: Urgency,
-    writes = 0,
+    { kind, method, path, body, urgency, writes = 0 }: StateRequest,
     stale: () => boolean = () => false,
   ): Promise<Reply | 'refused' | 'stale' | 'unknown'> {
     if (!(await this.limiter.take(urgency, writes))) return 'refused';
@@ -84,7 +95,7 @@
       return 'stale';
     }
     const sent = this.clock.now();
-    this.usage.requests++;
+    this.usage.sent(kind);
     try {
       const r = await this.http.request(method, path, body, TIMEOUT_MS);
       if (r.status === 429) {
@@ -120,12 +131,16 @@
     return this.contactAt > this.failedAt || this.clock.now() - this.contactAt < withinMs;
   }
 
-  async get(k: string, urgency: Urgency): Promise<{ value: unknown; version: Version }> {
-    const r = await this.call('GET', `${wire.paths.kv}/${k}`, undefined, urgency);
+  /** A key's value; `rev` is a revision at which the answer held: that of the key, or of the service where it has none. */
+  async get(k: string, urgency: Urgency): Promise<{ value: unknown; version: Version; rev: Revision }> {
+    const path = `${wire.paths.kv}/${k}`;
+    const r = await this.call({ kind: 'read', method: 'GET', path, urgency });
     if (typeof r === 'string') throw new Unavailable(k);
-    if (r.status === 404) return { value: undefined, version: NO_VERSION };
+    if (r.status === 404)
+      return { value: undefined, version: NO_VERSION, rev: wire.revisionFromWire(r.body) };
     if (r.status !== 200) throw new Unavailable(`${k}: ${r.status}`);
-    return wire.entryFromWire(r.body);
+    const entry = wire.entryFromWire(r.body);
+    return { ...entry, rev: revision(entry.version) };
   }
 
   async txn(
@@ -135,7 +150,10 @@
     stale?: () => boolean,
   ): Promise<TxnResult> {
     const body = wire.txnToWire(guards, ops);
-    const r = await this.call('POST', wire.paths.txn, body, urgency, ops.length, stale);
+    const kind = ops.length === 0 ? 'barrier' : 'transaction';
+    const path = wire.paths.txn;
+    const writes = ops.length;
+    const r = await this.call({ kind, method: 'POST', path, body, urgency, writes }, stale);
     if (typeof r === 'string') return { kind: r };
     if (r.status === 200) {
       for (const o of ops) this.usage.wrote(o.reason ?? 'other');
@@ -170,15 +188,19 @@
     return r.rev;
   }
 
+  private lease(method: Method, path: string, body?: unknown) {
+    return this.call({ kind: 'lease', method, path, body, urgency: URGENCY.session });
+  }
+
   async grant(ttlMs: number): Promise<number> {
-    const r = await this.call('POST', wire.paths.leases, wire.leaseToWire(ttlMs), URGENCY.session);
+    const r = await this.lease('POST', wire.paths.leases, wire.leaseToWire(ttlMs));
     if (typeof r === 'string' || r.status !== 200) throw new Unavailable('grant');
     return wire.leaseFromWire(r.body);
   }
 
   /** True: renewed; false: the lease is over. */
   async renew(lease: number): Promise<boolean> {
-    const r = await this.call('POST', `${wire.paths.leases}/${lease}/touch`, undefined, URGENCY.session);
+    const r = await this.lease('POST', `${wire.paths.leases}/${lease}/touch`);
     if (typeof r === 'string') throw new Unavailable('renew');
     if (r.status === 404) return false;
     if (r.status !== 200) throw new Unavailable(`renew: ${r.status}`);
@@ -186,7 +208,7 @@
   }
 
   async revoke(lease: number): Promise<void> {
-    const r = await this.call('DELETE', `${wire.paths.leases}/${lease}`, undefined, URGENCY.session);
+    const r = await this.lease('DELETE', `${wire.paths.leases}/${lease}`);
     if (typeof r === 'string') throw new Unavailable('revoke');
   }
 
@@ -196,12 +218,8 @@
     let from: Revision | null = null;
     let after: string | null = null;
     for (;;) {
-      const r = await this.call(
-        'GET',
-        wire.paths.kv + wire.listKeysQuery(WATCHED_PREFIX, after),
-        undefined,
-        URGENCY.session,
-      );
+      const path: string = wire.paths.kv + wire.listKeysQuery(WATCHED_PREFIX, after);
+      const r = await this.call({ kind: 'list', method: 'GET', path, urgency: URGENCY.session });
       if (typeof r === 'string' || r.status !== 200) throw new Unavailable('list');
       const page = wire.rowsFromWire(r.body);
       from ??= page.rev;
@@ -211,9 +229,15 @@
     }
   }
 
+  /** The least time between two waits for changes, so that these leave most of the requests to others. */
+  get watchEveryMs(): number {
+    return (1000 * this.settings.nodes) / (this.settings.rps * WATCH_PART);
+  }
+
   /** One wait for changes. Null: the revision is too old, list again. */
   async follow(from: Revision, waitMs: number): Promise<{ events: Change[]; rev: Revision } | null> {
     if (!(await this.limiter.take(URGENCY.session, 0))) throw new Unavailable('watch');
+    this.usage.sent('watch');
     const path = wire.paths.watch + wire.watchQuery(WATCHED_PREFIX, from, waitMs);
     const r = await this.watchHttp.request('GET', path, undefined, waitMs + TIMEOUT_MS);
     if (r.status === 410) return null;
--- a/src/io/state/follower.ts
+++ b/src/io/state/follower.ts
@@ -1,6 +1,6 @@
 /** Keeps a view of the shared state current by listing it once and watching it from then on. */
-import { WATCHED_PREFIX } from '../../core/keys.js';
-import { revision, version, type Revision } from '../../core/types.js';
+import { WATCHED_PREFIX, parseKey } from '../../core/keys.js';
+import { revision, version, type Revision, type Version } from '../../core/types.js';
 import type { Change, View } from '../../core/view.js';
 import { URGENCY } from '../rate-limiter.js';
 import type { Op } from '../wire.js';
@@ -21,6 +21,8 @@
   /** The first complete picture has been reached. */
   ready = false;
   private waiting: { rev: Revision; go: (ok: boolean) => void }[] = [];
+  /** Slices that this process has written before the watch told of all that was committed until then. */
+  private readonly ahead = new Map<string, Version>();
   private barrier: Promise<void> | null = null;
   private queuedBarrier: Promise<void> | null = null;
 
@@ -43,6 +45,8 @@
         let at = from;
         for (;;) {
           let r: { events: Change[]; rev: Revision } | null;
+          const { clock, watchEveryMs } = this.client;
+          const next = clock.now() + watchEveryMs;
           try {
             r = await this.client.follow(at, WATCH_MS);
           } catch {
@@ -55,8 +59,10 @@
           at = revision(Math.max(at, r.rev));
           this.view.reached(at);
           if (at >= upTo) this.ready = true;
+          for (const k of this.caughtUp()) keys.add(k);
           this.wake();
           if (keys.size > 0) this.changed(keys);
+          if (clock.now() < next) await clock.sleep(next - clock.now());
         }
       } catch {
         await this.client.clock.sleep(LIST_AGAIN_MS);
@@ -64,6 +70,13 @@
     }
   }
 
+  /** What may be acted on only now that the view has reached it: listeners are told once more. */
+  private caughtUp(): string[] {
+    const keys = [...this.ahead].filter(([, v]) => v <= this.view.rev).map(([k]) => k);
+    for (const k of keys) this.ahead.delete(k);
+    return keys;
+  }
+
   private wake(): void {
     const rest: typeof this.waiting = [];
     for (const w of this.waiting) {
@@ -123,7 +136,9 @@
     const keys = new Set<string>();
     for (const o of ops) {
       if (!o.key.startsWith(WATCHED_PREFIX)) continue;
-      if (this.view.apply({ key: o.key, value: o.value, version: version(rev) })) keys.add(o.key);
+      if (!this.view.apply({ key: o.key, value: o.value, version: version(rev) })) continue;
+      keys.add(o.key);
+      if (parseKey(o.key).kind === 'slice') this.ahead.set(o.key, version(rev));
     }
     if (keys.size > 0) this.changed(keys);
   }
--- a/src/io/state/transactions.ts
+++ b/src/io/state/transactions.ts
@@ -14,6 +14,28 @@
   readonly guards: readonly Guard[];
 }
 
+/** The state service takes so many guards for each change that a transaction may make. */
+export const GUARDS_PER_OP = 4;
+
+/** The distinct guards of a change, no more than a transaction takes. */
+export class GuardSet {
+  private readonly guards = new Map<string, Guard>();
+
+  constructor(private readonly most: number) {}
+
+  /** Adds all of them, or none where they would be too many. */
+  add(guards: readonly Guard[]): boolean {
+    const fresh = new Set(guards.map((g) => g.key).filter((k) => !this.guards.has(k)));
+    if (this.guards.size + fresh.size > this.most) return false;
+    for (const g of guards) this.guards.set(g.key, g);
+    return true;
+  }
+
+  list(): Guard[] {
+    return [...this.guards.values()];
+  }
+}
+
 /** A transaction filled with groups. */
 export interface Packed extends Group {
   readonly groups: readonly Group[];
@@ -67,7 +89,9 @@
       const size = JSON.stringify(g.ops).length + 80 * g.guards.length;
       const more = g.guards.filter((x) => !guards.has(x.key)).length;
       const full =
-        ops.length + g.ops.length > txnOps || bytes + size > 60_000 || guards.size + more > txnOps * 4;
+        ops.length + g.ops.length > txnOps ||
+        bytes + size > 60_000 ||
+        guards.size + more > txnOps * GUARDS_PER_OP;
       if (ops.length > 0 && full) break;
       ops.push(...g.ops);
       packed.push(g);
--- a/src/io/state/usage.ts
+++ b/src/io/state/usage.ts
@@ -10,6 +10,7 @@
   | 'preemption'
   | 'machine_state'
   | 'tidying'
+  | 'failing'
   | 'move'
   | 'return'
   | 'rental'
@@ -17,6 +18,9 @@
   | 'settling'
   | 'other';
 
+/** What a request to the state service is for. */
+export type RequestKind = 'read' | 'barrier' | 'transaction' | 'lease' | 'list' | 'watch';
+
 /** Counts since the process began. */
 export class Usage {
   requests = 0;
@@ -27,6 +31,13 @@
   /** Changes in transactions whose guards failed: they cost as much as those that were made. */
   conflicted = 0;
   private readonly written = new Map<WriteReason, number>();
+  private readonly asked = new Map<RequestKind, number>();
+
+  /** A request was sent. */
+  sent(kind: RequestKind): void {
+    this.requests++;
+    this.asked.set(kind, (this.asked.get(kind) ?? 0) + 1);
+  }
 
   wrote(reason: WriteReason): void {
     this.written.set(reason, (this.written.get(reason) ?? 0) + 1);
@@ -35,6 +46,14 @@
   /** The counts as they are logged. */
   snapshot() {
     const { requests, limited, refused, lost, conflicted } = this;
-    return { requests, limited, refused, lost, conflicted, written: Object.fromEntries(this.written) };
+    return {
+      requests,
+      asked: Object.fromEntries(this.asked),
+      limited,
+      refused,
+      lost,
+      conflicted,
+      written: Object.fromEntries(this.written),
+    };
   }
 }
--- a/src/io/users.ts
+++ b/src/io/users.ts
@@ -32,12 +32,10 @@
     ajv: { customOptions: { coerceTypes: false, useDefaults: false, removeAdditional: false } },
   });
   app.server.maxConnections = o.maxConnections;
-  const admission = new Admission({
-    min: o.leastInProgress,
-    max: o.mostInProgress,
-    tolerance: 4,
-    floorMs: 250,
-  });
+  const bounds = { min: o.leastInProgress, max: o.mostInProgress, tolerance: 4, floorMs: 250 };
+  // Each has its own limit: however many questions are asked, and however slow their answers, submissions are taken.
+  const submissions = new Admission(bounds);
+  const questions = new Admission(bounds);
   const now = () => steady(performance.now());
 
   app.removeAllContentTypeParsers();
@@ -65,7 +63,7 @@
   });
 
   /** Runs a user's request within the limit, or refuses it at once. */
-  const admitted = async <T>(work: () => Promise<T>): Promise<T | null> => {
+  const admitted = async <T>(admission: Admission, work: () => Promise<T>): Promise<T | null> => {
     if (!admission.enter()) return null;
     const start = now();
     try {
@@ -78,7 +76,7 @@
   const later = { error: 'try again later' };
 
   app.post(wire.paths.jobs, { schema: { body: wire.Submission } }, async (req, reply) => {
-    const r = await admitted(() => o.jobs.submit(wire.jobFromWire(req.body as never)));
+    const r = await admitted(submissions, () => o.jobs.submit(wire.jobFromWire(req.body as never)));
     if (r === null) return reply.code(429).header('retry-after', '1').send(later);
     if (r.kind === 'later') return reply.code(503).header('retry-after', '1').send(later);
     if (r.kind === 'impossible') return reply.code(422).send({ error: r.why });
@@ -89,7 +87,7 @@
   app.get<{ Params: { id: string } }>(wire.paths.job, async (req, reply) => {
     if (!wire.isJobId(req.params.id)) return reply.code(404).send({ error: 'no such job' });
     const id = jobId(req.params.id);
-    const r = await admitted(async () => ({ found: await o.jobs.find(id) }));
+    const r = await admitted(questions, async () => ({ found: await o.jobs.find(id) }));
     if (r === null) return reply.code(429).header('retry-after', '1').send(later);
     if (r.found === undefined) return reply.code(404).send({ error: 'no such job' });
     return reply.send(wire.statusToWire(id, r.found));
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -17,6 +17,7 @@
   type JobId,
   type JobSpec,
   type JobState,
+  type JobStatus,
   type Kind,
   type MachineName,
   type MachineType,
@@ -136,18 +137,9 @@
 const STANDING = { pending: 'pending', running: 'running', done: 'done', cancelled: 'withdrawn' };
 /** The answer to a submission or a cancellation. */
 export const acceptedToWire = (id: JobId, state: JobState) => ({ nameId: id, standing: STANDING[state] });
-/** A job as it is shown. */
-export interface ShownJob {
-  readonly state: JobState;
-  readonly done: number;
-  readonly running: number;
-  readonly needs?: readonly JobId[];
-  readonly inherited?: { readonly priority: Priority; readonly dueInS: number | null };
-  readonly because?: JobId;
-}
-/** What a job waits for, inherits or was withdrawn with is told beside what the protocol asks for. */
-export function statusToWire(id: JobId, job: ShownJob) {
-  const { state, done, running, needs = [], inherited, because } = job;
+/** What a job waits for, inherits, was withdrawn with or fails with is told beside what the protocol asks for. */
+export function statusToWire(id: JobId, job: JobStatus) {
+  const { state, done, running, needs = [], inherited, because, failing } = job;
   return {
     nameId: id,
     standing: STANDING[state],
@@ -158,6 +150,16 @@
       ? {}
       : { inherits: { tier: TIER[inherited.priority], dueInS: inherited.dueInS } }),
     ...(because === undefined ? {} : { withdrawnWith: because }),
+    ...(failing === undefined
+      ? {}
+      : {
+          fails: {
+            times: failing.rounds,
+            exitCause: failing.why,
+            tellers: failing.machines,
+            nextTryInS: failing.nextTryInS,
+          },
+        }),
   };
 }
 const MOST_NEEDS_TOLD = 100;
--- a/test/commit.test.ts
+++ b/test/commit.test.ts
@@ -5,7 +5,7 @@
 import type { Reply, Transport } from '../src/io/http.js';
 import { StateClient } from '../src/io/state/client.js';
 import { Follower } from '../src/io/state/follower.js';
-import { commit, commitAll, pack } from '../src/io/state/transactions.js';
+import { GUARDS_PER_OP, GuardSet, commit, commitAll, pack } from '../src/io/state/transactions.js';
 import { URGENCY } from '../src/io/rate-limiter.js';
 import { version } from '../src/core/types.js';
 import { StateService } from './sim/state.js';
@@ -242,3 +242,13 @@
   view.reset([{ key: 'p/j/wk-3', value: {}, version: version(30) }], 31 as never);
   assert.deepEqual([...view.jobs.keys()], ['wk-3']);
 });
+
+test('the guards of a change are counted once, and are never more than a transaction takes', () => {
+  const guards = new GuardSet(2 * GUARDS_PER_OP);
+  const guard = (key: string) => ({ key, version: version(3) });
+  assert.ok(guards.add([guard('m'), guard('s')]));
+  for (let i = 0; i < 6; i++) assert.ok(guards.add([guard('s'), guard(`j${i}`)]), `the ${i}th`);
+  assert.equal(guards.add([guard('s'), guard('j6')]), false);
+  assert.ok(guards.add([guard('s'), guard('j5')]), 'known ones cost nothing');
+  assert.equal(guards.list().length, 8);
+});
--- a/test/dependencies.test.ts
+++ b/test/dependencies.test.ts
@@ -152,6 +152,8 @@
   const last = await accepted(sim, [...many, ...waiting, first], 1, {}, 20_000);
   const record = sim.state.rows.get(key.job(jobId(last)))!.value;
   assert.ok(bytesOf(record) <= 2048, `${bytesOf(record)} bytes`);
+  // The other controllers learn of it by their watches, which leave most of the requests to others.
+  await wait(sim, 500);
   for (const n of sim.nodes.values()) {
     const needs = n.controller!.ctx.view.jobs.get(jobId(last))?.spec.needs ?? [];
     assert.ok(needs.length > 300, `${needs.length} of them are kept`);
--- /dev/null
+++ b/test/failures.test.ts
@@ -0,0 +1,141 @@
+/** Jobs that fail wherever they run are told from machines that fail whatever they run, and cost little until cancelled. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Failures } from '../src/core/failures.js';
+import { jobId, machineName, steady } from '../src/core/types.js';
+import { all, begun, calledOff, leads, meeting, wait } from './sim/meeting.js';
+import type { Sim } from './sim/run.js';
+
+const JOB = jobId('wk-1');
+const machine = (i: number) => machineName(`n-${i}`);
+
+test('a job that fails on several machines waits longer and longer, up to a bound, and condemns none of them', () => {
+  const failures = new Failures(() => 0.5);
+  failures.failed(JOB, machine(0), 'error', steady(0));
+  assert.equal(failures.failuresOf(JOB), null, 'one machine may be the one at fault');
+  let now = 100;
+  const waits: number[] = [];
+  for (let i = 1; i <= 8; i++) {
+    // All tasks of one try fail, on several machines.
+    for (let k = 0; k < 5; k++) failures.failed(JOB, machine(i * 5 + k), 'error', steady(now + k));
+    const { until, rounds } = failures.failuresOf(JOB)!;
+    assert.equal(rounds, i);
+    waits.push(until - now);
+    now = until;
+  }
+  assert.deepEqual(waits, [5000, 10_000, 20_000, 40_000, 60_000, 60_000, 60_000, 60_000]);
+  for (let i = 0; i < 50; i++) assert.equal(failures.isFaulty(machine(i)), false);
+  failures.done(JOB, machine(3));
+  assert.equal(failures.failuresOf(JOB), null, 'it is sound after all');
+});
+
+test('the waits of jobs that fail alike are spread', () => {
+  const untils = [0, 0.25, 0.75, 0.999].map((r) => {
+    const failures = new Failures(() => r);
+    for (const i of [1, 2]) failures.failed(JOB, machine(i), 'error', steady(0));
+    return failures.failuresOf(JOB)!.until;
+  });
+  assert.ok(Math.min(...untils) >= 3750 && Math.max(...untils) <= 6250);
+  assert.equal(new Set(untils).size, 4);
+});
+
+test('another owner goes on with the waits that its predecessor recorded', () => {
+  const failures = new Failures(() => 0.5);
+  failures.failed(JOB, machine(1), 'error', steady(0), 3);
+  const { rounds, until } = failures.failuresOf(JOB)!;
+  assert.equal(rounds, 4);
+  assert.equal(until, 40_000);
+});
+
+test('a machine is at fault when it fails what runs elsewhere, or several jobs', () => {
+  const failures = new Failures(() => 0.5);
+  // Many tasks of one array that nobody has seen run yet: it may be the array.
+  for (let i = 0; i < 9; i++) failures.failed(JOB, machine(1), 'error', steady(i));
+  assert.equal(failures.isFaulty(machine(1)), false);
+  failures.ranLong(JOB);
+  assert.equal(failures.isFaulty(machine(1)), true);
+  failures.failed(jobId('wk-2'), machine(2), 'error', steady(20));
+  assert.equal(failures.isFaulty(machine(2)), false);
+  failures.failed(jobId('wk-3'), machine(2), 'error', steady(30));
+  assert.equal(failures.isFaulty(machine(2)), true);
+  failures.done(jobId('wk-4'), machine(2));
+  assert.equal(failures.isFaulty(machine(2)), false, 'it does something well again');
+});
+
+test('what is known of a job goes with it', () => {
+  const failures = new Failures(() => 0.5);
+  for (const i of [1, 2]) failures.failed(JOB, machine(i), 'error', steady(0));
+  assert.equal([...failures.blamed()].length, 1);
+  failures.forgetJob(JOB);
+  assert.equal([...failures.blamed()].length, 0);
+});
+
+/** Starts of tasks of the job so far. */
+function countStarts(sim: Sim, id: string): () => number {
+  let starts = 0;
+  const enter = sim.fleet.enter.bind(sim.fleet);
+  sim.fleet.enter = (w, t) => {
+    if (t.id === id) starts++;
+    enter(w, t);
+  };
+  return () => starts;
+}
+
+const drained = (sim: Sim) =>
+  [...sim.state.rows].filter(
+    ([k, r]) => k.startsWith('p/m/') && (r.value as { drain?: boolean }).drain === true,
+  );
+
+for (const [kind, tasks, most] of [
+  ['sweep', 12, 30],
+  ['ensemble', 3, 30],
+  ['daemon', 4, 30],
+] as const)
+  test(`a broken ${kind} is tried rarely, drains no machine, says so, and is cancelled at once`, async () => {
+    const sim = await begun(3);
+    const id = sim.submit({ kind, tasks, broken: true, stays: true, fields: { cards: 0, tier: 'urgent' } });
+    const starts = countStarts(sim, id);
+    const before = drained(sim).length;
+    await wait(sim, 60_000);
+    assert.ok(starts() >= 3, `it was tried ${starts()} times`);
+    assert.ok(starts() <= most, `it was tried ${starts()} times in a minute`);
+    assert.equal(drained(sim).length, before);
+    const asked = leads(sim).controller!.jobs.find(jobId(id));
+    await wait(sim, 500);
+    const found = await asked;
+    assert.equal(found?.failing?.why, 'error');
+    assert.ok(found.failing.rounds >= 1 && found.failing.machines.length > 0);
+    // Whoever takes over goes on with its waits.
+    for (const n of all(sim)) n.crash();
+    await wait(sim, 500);
+    for (const n of all(sim)) n.start();
+    const crashed = starts();
+    await wait(sim, 6000);
+    assert.ok(starts() - crashed <= Math.max(3, tasks / 3), 'not all of it is tried again');
+    sim.callOff(id);
+    await wait(sim, 6000);
+    assert.equal(sim.fleet.submitted.get(id)!.toldFinal, 'cancelled');
+  });
+
+meeting('broken jobs meet an outage of the state service and a change of leader', async (sim) => {
+  const ids = [...Array(6).keys()].map((i) =>
+    sim.submit({
+      kind: i % 2 === 0 ? 'sweep' : 'ensemble',
+      tasks: 3,
+      broken: true,
+      stays: true,
+      fields: { cards: 0 },
+    }),
+  );
+  await wait(sim, 6000);
+  sim.state.setOutage(true);
+  leads(sim).crash();
+  for (const id of ids.slice(0, 3)) sim.callOff(id);
+  await wait(sim, 15_000);
+  sim.state.setOutage(false);
+  for (const n of all(sim)) if (n.controller === null) n.start();
+  await wait(sim, 10_000);
+  for (const id of ids.slice(3)) sim.callOff(id);
+  await wait(sim, 10_000);
+  assert.ok(calledOff(sim).length >= 6, 'all were called off');
+});
--- /dev/null
+++ b/test/group-commit.test.ts
@@ -0,0 +1,96 @@
+/** Submissions that come together share transactions; each learns what became of itself. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { revision } from '../src/core/types.js';
+import type { StateClient, TxnResult } from '../src/io/state/client.js';
+import { GroupCommit } from '../src/io/state/group-commit.js';
+import type { Guard, Op } from '../src/io/wire.js';
+import { NO_VERSION } from '../src/core/types.js';
+
+const change = (name: string) => ({
+  ops: [{ key: `p/j/${name}`, value: { name } }],
+  guards: [`p/j/${name}`, `f/${name}`].map((key) => ({ key, version: NO_VERSION })),
+});
+
+/** A state service that answers when it is told to, and refuses keys that exist. */
+function service(settings = { txnOps: 8, writeRps: 60, nodes: 3 }) {
+  const sent: string[][] = [];
+  const exists = new Set<string>();
+  const rejects = new Set<string>();
+  let answers: (() => void)[] = [];
+  const client = {
+    settings,
+    writesWithin: () => 0,
+    txnWithRetry: (guards: readonly Guard[], ops: readonly Op[]) =>
+      new Promise<TxnResult>((resolve) => {
+        sent.push(ops.map((o) => o.key));
+        answers.push(() => {
+          const failed = guards.map((g) => g.key).filter((k) => exists.has(k));
+          if (ops.some((o) => rejects.has(o.key))) resolve({ kind: 'rejected' });
+          else if (failed.length > 0) resolve({ kind: 'conflict', rev: revision(5), failed });
+          else {
+            for (const o of ops) exists.add(o.key);
+            resolve({ kind: 'ok', rev: revision(6) });
+          }
+        });
+      }),
+  };
+  const answer = async () => {
+    while (answers.length > 0) {
+      const now = answers;
+      answers = [];
+      for (const go of now) go();
+      await new Promise((r) => setImmediate(r));
+    }
+  };
+  return { commits: new GroupCommit(client as unknown as StateClient), sent, exists, rejects, answer };
+}
+
+test('one that comes alone is sent at once, those that come meanwhile share transactions within the limits', async () => {
+  const s = service();
+  const names = [...Array(20).keys()].map((i) => `wk-${i}`);
+  const results = names.map((name) => s.commits.commit(name, change(name)));
+  assert.equal(s.sent.length, 2, 'the first two wait for nobody');
+  await s.answer();
+  assert.deepEqual(new Set((await Promise.all(results)).map((r) => r.kind)), new Set(['ok']));
+  assert.deepEqual(
+    s.sent.map((keys) => keys.length),
+    [1, 1, 8, 8, 2],
+  );
+});
+
+test('one that exists already, or is rejected, takes no other with it', async () => {
+  const s = service();
+  s.exists.add('f/wk-3');
+  s.rejects.add('p/j/wk-12');
+  const results = [...Array(14).keys()].map((i) => s.commits.commit(`wk-${i}`, change(`wk-${i}`)));
+  await s.answer();
+  const kinds = (await Promise.all(results)).map((r) => r.kind);
+  assert.equal(kinds[3], 'conflict');
+  assert.equal(kinds[12], 'rejected');
+  assert.ok(
+    kinds.every((k, i) => k === 'ok' || i === 3 || i === 12),
+    kinds.join(' '),
+  );
+});
+
+test('no transaction is larger than what this controller may write within a second', async () => {
+  const s = service({ txnOps: 32, writeRps: 20, nodes: 4 });
+  const results = [...Array(12).keys()].map((i) => s.commits.commit(`wk-${i}`, change(`wk-${i}`)));
+  await s.answer();
+  await Promise.all(results);
+  assert.ok(s.sent.every((keys) => keys.length <= 5));
+});
+
+test('what would wait for longer than its user does is refused at once, and nothing is sent twice', async () => {
+  const s = service({ txnOps: 8, writeRps: 20, nodes: 4 });
+  const commit = (i: number) => s.commits.commit(`wk-${i}`, change(`wk-${i}`));
+  const first = [...Array(40).keys()].map(commit);
+  const again = [...Array(10).keys()].map(commit);
+  const refused = await Promise.race([first[39], Promise.resolve({ kind: 'waits' })]);
+  assert.equal(refused?.kind, 'refused');
+  await s.answer();
+  const kinds = (await Promise.all([...first, ...again])).map((r) => r.kind);
+  assert.equal(kinds.filter((k) => k === 'ok').length, 17 + 10, 'two at once, and three seconds of changes');
+  assert.equal(new Set(s.sent.flat()).size, s.sent.flat().length);
+});
--- /dev/null
+++ b/test/large-fleet.test.ts
@@ -0,0 +1,142 @@
+/** About 4,000 machines: no fixed limit stands below that, and the work per report and per pass stays small. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { Ledger } from '../src/core/ledger.js';
+import { key } from '../src/core/keys.js';
+import { placedOf } from '../src/core/placed.js';
+import { bytesOf } from '../src/core/records.js';
+import { attempt, machineName, steady, version, type MachineRecord } from '../src/core/types.js';
+import { View } from '../src/core/view.js';
+import { newMemory, takeReport } from '../src/core/worker-reports.js';
+import { jobFromWire, reportFromWire } from '../src/io/wire.js';
+import { HUGE, Sim } from './sim/run.js';
+import { all, leads, wait } from './sim/meeting.js';
+import { machine, submission, types } from './samples.js';
+
+const MACHINES = 4000;
+
+/** Runs until the condition holds; fails where it does not within the time. */
+async function until(sim: Sim, ms: number, what: string, holds: () => boolean): Promise<void> {
+  for (let waited = 0; !holds(); waited += 1000) {
+    assert.ok(waited < ms, `${what}: not within ${ms} ms`);
+    await wait(sim, 1000);
+  }
+}
+
+test('a leader and owners serve 4,000 machines through the start, a loss and a burst', async () => {
+  const sim = new Sim(5, HUGE);
+  sim.smooth = true;
+  sim.copies = 0;
+  // One task fills a machine, so that each has one.
+  const fields = { vcpus: 14, cards: 0, tier: 'standard', vault: null, samePlace: false };
+  const submitAll = (tasks: number, tenants: readonly string[], runMs: number) =>
+    tenants.map((tenant) =>
+      sim.submit({ kind: 'sweep', tasks, runMs, stays: true, fields: { ...fields, tenant } }),
+    );
+  const teams = ['red', 'blue', 'green'];
+  submitAll(MACHINES / 3, teams, 100_000);
+  const busy = () => sim.fleet.live().filter((w) => w.tasks.size > 0).length;
+  await until(sim, 120_000, 'a task on each of 3,900 machines', () => busy() >= MACHINES * 0.975);
+
+  // Steady reports: nothing is written for them, and few requests are made.
+  const before = { ...sim.state.counts };
+  await wait(sim, 5000);
+  const writes = (sim.state.counts.writes - before.writes) / 5;
+  assert.ok(writes < HUGE.writeRps / 4, `${writes} changes a second while nothing happens`);
+
+  // A controller is lost: its slice goes by one change, and no worker's lease runs out.
+  const lost = all(sim).find((n) => n !== leads(sim))!;
+  const records = () => [...sim.state.rows].filter(([k]) => k.startsWith('p/m/'));
+  const versions = new Map(records().map(([k, r]) => [k, r.rev]));
+  lost.crash();
+  await wait(sim, 12_000);
+  const rewritten = records().filter(([k, r]) => versions.get(k) !== r.rev).length;
+  assert.ok(rewritten < MACHINES / 4, `${rewritten} records of machines written anew`);
+  assert.equal(sim.fleet.leasesLost, 0, 'tasks killed by their lease');
+  lost.start();
+  await wait(sim, 8000);
+  assert.equal(sim.fleet.leasesLost, 0, 'tasks killed by their lease');
+
+  // A burst of small tasks on what is left of the machines.
+  const starts = sim.fleet.starts;
+  for (const tenant of teams)
+    for (let i = 0; i < 10; i++)
+      sim.submit({
+        kind: 'sweep',
+        tasks: 40,
+        runMs: 4000,
+        stays: true,
+        fields: { ...fields, tenant, vcpus: 1, memoryGb: 1 },
+      });
+  await until(sim, 40_000, 'the burst', () => sim.fleet.starts - starts >= 1200);
+  assert.equal(sim.state.tooLarge, 0, 'changes above a limit');
+  for (const [k, r] of sim.state.rows) assert.ok(bytesOf(r.value) <= sim.state.valueBytes, k);
+});
+
+test('what a controller keeps of 4,000 machines fits into its heap', () => {
+  setFlagsFromString('--expose_gc');
+  const gc = runInNewContext('gc') as () => void;
+  const heap = () => {
+    gc();
+    return process.memoryUsage().heapUsed / 2 ** 20;
+  };
+  const TASKS = 8;
+  const spec = jobFromWire(
+    submission({ vcpus: 1, cards: 0, memoryGb: 1, shards: MACHINES * TASKS }) as never,
+  );
+  const before = heap();
+  const view = new View();
+  const memories = [];
+  for (let i = 0; i < MACHINES; i++) {
+    const name = `n-${String(i).padStart(6, '0')}`;
+    const tasks = [...Array(TASKS).keys()].map((k) => i * TASKS + k);
+    // As they come over the wire: nothing is shared between them.
+    const text = JSON.stringify(machine(name, [placedOf(spec, attempt(7), tasks)]));
+    const value: unknown = JSON.parse(text);
+    view.apply({ key: key.machine(machineName(name)), value, version: version(i + 10) });
+    const memory = newMemory(view.tokenOf(value as MachineRecord), steady(0));
+    const report = reportFromWire(
+      JSON.parse(
+        JSON.stringify({
+          teller: name,
+          endpoint: '10.1.0.1:9000',
+          flavor: 'm',
+          vault: 'a',
+          shift: 1,
+          tally: 1,
+          shards: tasks.map((t) => ({ shard: `wk-000412/${t}`, tryNo: 7, standing: 'running' })),
+        }),
+      ),
+    );
+    takeReport(memory, report!, steady(1), true, 2000);
+    memories.push(memory);
+  }
+  const ledger = new Ledger(view.machines.values(), types, new Map());
+  const used = heap() - before;
+  assert.equal(ledger.free.size, MACHINES);
+  assert.equal(memories.length, MACHINES);
+  // `deploy/service.toml` allows 72 MB, of which the program takes about 20 without any machine.
+  assert.ok(used < 45, `${used.toFixed(1)} MB`);
+});
+
+test('a list of machines answered for others goes on in further records, each read back for its controller', () => {
+  const view = new View();
+  const names = (from: number) => [...Array(700).keys()].map((i) => machineName(`n-${from + i}`));
+  for (const part of [0, 1, 2])
+    view.apply({
+      key: key.substitutes('c-1', part),
+      value: { machines: names(part * 700), lease: 3 },
+      version: version(10 + part),
+    });
+  const nodes = new Set([...view.substitutes.values()].map((s) => s.node));
+  assert.deepEqual(nodes, new Set(['c-1']));
+  const listed = [...view.substitutes.values()].reduce((n, s) => n + s.machines.size, 0);
+  assert.equal(listed, 2100);
+  view.apply({ key: key.substitutes('c-1', 1), value: undefined, version: version(20) });
+  assert.equal(
+    [...view.substitutes.values()].reduce((n, s) => n + s.machines.size, 0),
+    1400,
+  );
+});
--- /dev/null
+++ b/test/planning.ts
@@ -0,0 +1,61 @@
+/** Jobs, teams and plans as several tests of scheduling use them. */
+import { planFleet, type FleetInput } from '../src/core/fleet.js';
+import { Ledger } from '../src/core/ledger.js';
+import { placedOf } from '../src/core/placed.js';
+import {
+  attempt,
+  nodeName,
+  teamName,
+  wallMs,
+  type JobRecord,
+  type MachineRecord,
+} from '../src/core/types.js';
+import { jobFromWire } from '../src/io/wire.js';
+import { submission, type, types } from './samples.js';
+
+export const team = (name: string, gpus: number) => ({
+  name: teamName(name),
+  guarantee: [0, 0, gpus * 1e6] as const,
+  limitCpu: null,
+  limitGpu: null,
+});
+export const teams = new Map([team('red', 4), team('blue', 4)].map((t) => [t.name, t]));
+export const job = (id: string, over: Record<string, unknown>): JobRecord => ({
+  spec: jobFromWire(
+    submission({
+      nameId: id,
+      tenant: 'red',
+      vcpus: 4,
+      cards: 1,
+      memoryGb: 16,
+      loaner: false,
+      ...over,
+    }) as never,
+  ),
+  phase: 'active',
+  done: { base: 0, bits: '', count: 0 },
+  submitted: wallMs(0),
+});
+export const on = (j: JobRecord, ...tasks: number[]) => placedOf(j.spec, attempt(1), tasks);
+
+export const planned = (jobs: JobRecord[], machines: MachineRecord[], over: Partial<FleetInput> = {}) =>
+  planFleet({
+    jobs,
+    machines,
+    rentals: [],
+    ledger: new Ledger(machines, types, teams),
+    types: [type],
+    owners: new Map([
+      [teamName('red'), nodeName('c-0')],
+      [teamName('blue'), nodeName('c-1')],
+    ]),
+    order: { wall: wallMs(0), behindMs: 60_000 },
+    usable: () => true,
+    movable: () => true,
+    yields: () => false,
+    mayHold: () => true,
+    reserve: [],
+    available: () => false,
+    idle: () => true,
+    ...over,
+  });
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -4,7 +4,7 @@
 import { markDone } from '../src/core/jobs.js';
 import { Ledger } from '../src/core/ledger.js';
 import { judgeDependencies } from '../src/core/dependencies.js';
-import { placedOf, withPlaced } from '../src/core/placement.js';
+import { placedOf, withPlaced } from '../src/core/placed.js';
 import { stopped } from '../src/core/preemption.js';
 import { TASK_BYTES, bytesOf, entryBytes, partsWithin, slim } from '../src/core/records.js';
 import { commands, exits, newMemory, takeReport } from '../src/core/worker-reports.js';
--- a/test/sim/node.ts
+++ b/test/sim/node.ts
@@ -51,6 +51,7 @@
     const outside: Outside = {
       clock: this.clock,
       identity: `${this.name}-${this.lives}`,
+      random: () => world.real(0, 1),
       state: this.stateService(this.clock, false),
       watch: this.stateService(this.clock, true),
       cloud: this.cloud(this.clock),
--- a/test/sim/sizes.ts
+++ b/test/sim/sizes.ts
@@ -22,6 +22,12 @@
   /** Users submit a job about this often. */
   readonly everyMs: number;
   readonly mostTasks: number;
+  /** How often a worker looks whether it has something to do; slower for thousands of them. */
+  readonly workerTickMs?: number;
+  /** Rows in a page of a listing. */
+  readonly pageRows?: number;
+  /** The rules are checked after every so many steps. */
+  readonly checkEvery?: number;
 }
 export const SMALL: Size = {
   times: 1,
@@ -52,16 +58,33 @@
   writeRps: 80,
   txnOps: 8,
 };
+/** Room for 4,400 machines. */
+export const HUGE: Size = {
+  times: 2000,
+  perZone: 2200,
+  everyMs: 4000,
+  mostTasks: 20,
+  rps: 600,
+  writeRps: 500,
+  txnOps: 32,
+  workerTickMs: 500,
+  pageRows: 500,
+  checkEvery: 2000,
+};
 export type Json = Record<string, unknown>;
 
 /** What a test says of a job. */
 export interface Given {
   readonly kind?: 'sweep' | 'ensemble' | 'daemon';
   readonly tasks?: number;
+  /** How long each task runs. */
+  readonly runMs?: number;
   /** How much longer each task runs than the one before it. */
   readonly apartMs?: number;
   readonly fields?: Json;
   readonly needs?: readonly string[];
+  /** It was submitted with a mistake and fails on every machine. */
+  readonly broken?: boolean;
   /** Its user does not call it off by chance. */
   readonly stays?: boolean;
 }
--- a/test/worker-reports.test.ts
+++ b/test/worker-reports.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Ledger } from '../src/core/ledger.js';
-import { placedOf } from '../src/core/placement.js';
+import { placedOf } from '../src/core/placed.js';
 import { commands, exits, newMemory, takeReport } from '../src/core/worker-reports.js';
 import {
   attempt,
@@ -188,6 +188,22 @@
   assert.equal(exits(m, mem, off).filter((e) => e.index === 0).length, 1);
 });
 
+test('a task that is done frees its machine at once, and its part of the limit only once its result is durable', () => {
+  const team = spec.team;
+  const m = machine(placed([0, 1]));
+  const ledger = new Ledger([m], types, new Map());
+  const used = ledger.used(team);
+  const free = ledger.free.get(m.name)!;
+  ledger.vacate(m, placed([0]), false, false);
+  assert.deepEqual(ledger.used(team), used);
+  assert.notDeepEqual(ledger.free.get(m.name), free);
+  ledger.vacate(m, placed([0]), true, false);
+  ledger.vacate(m, placed([0]), false, true);
+  assert.equal(ledger.used(team)[0], used[0] / 2);
+  ledger.vacate(m, placed([0]), true, true);
+  assert.deepEqual([ledger.used(team), ledger.free.get(m.name)], [used, free]);
+});
+
 test('sums that follow the records are the sums over the records', () => {
   const teams = new Map([
     [
