--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -3,14 +3,25 @@
 import { test } from 'node:test';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
+import type { Context } from '../src/controller/context.js';
+import { UnknownMachines } from '../src/controller/leader/unknown-machines.js';
+import { SubstituteList } from '../src/controller/substitute-list.js';
 import { Ledger } from '../src/core/ledger.js';
 import { key } from '../src/core/keys.js';
 import { placedOf } from '../src/core/placed.js';
 import { bytesOf } from '../src/core/records.js';
-import { attempt, machineName, steady, version, type MachineRecord } from '../src/core/types.js';
+import {
+  attempt,
+  machineName,
+  nodeName,
+  revision,
+  steady,
+  version,
+  type MachineRecord,
+} from '../src/core/types.js';
 import { View } from '../src/core/view.js';
 import { newMemory, takeReport } from '../src/core/worker-reports.js';
-import { jobFromWire, reportFromWire } from '../src/io/wire.js';
+import { jobFromWire, reportFromWire, type Guard, type Op } from '../src/io/wire.js';
 import { HUGE, Sim } from './sim/run.js';
 import { all, leads, wait } from './sim/meeting.js';
 import { machine, submission, types } from './samples.js';
@@ -140,3 +151,64 @@
     1400,
   );
 });
+
+test('however many machines are answered for others, all are written down, within the limit for a value', async () => {
+  const view = new View();
+  let rev = 10;
+  const ctx = {
+    view,
+    settings: { node: nodeName('c-1') },
+    guard: (k: string): Guard => ({ key: k, version: view.versionOf(k) }),
+    follower: { applied: () => undefined },
+    state: {
+      settings: { valueBytes: 2048 },
+      txn: (_guards: readonly Guard[], ops: readonly Op[]) => {
+        rev++;
+        for (const { key: k, value } of ops) {
+          assert.ok(value === undefined || bytesOf(value) <= 2048);
+          view.apply({ key: k, value, version: version(rev) });
+        }
+        return Promise.resolve({ kind: 'ok', rev: revision(rev) });
+      },
+    },
+  };
+  const list = new SubstituteList(ctx as unknown as Context);
+  const names = [...Array(Math.floor(MACHINES / 3)).keys()].map((i) =>
+    machineName(`n-${String(i).padStart(6, '0')}`),
+  );
+  const written = () =>
+    [...view.substitutes.values()]
+      .filter((s) => s.node === 'c-1')
+      .flatMap((s) => [...s.machines])
+      .sort();
+  await list.publish(names, 3);
+  assert.deepEqual(written(), names);
+  await list.publish(names, 3);
+  const before = rev;
+  await list.publish(names, 3);
+  assert.equal(rev, before, 'nothing is written where nothing has changed');
+  await list.publish(names.slice(0, 3), 3);
+  assert.deepEqual(written(), names.slice(0, 3));
+  await list.publish([], 3);
+  assert.equal(view.substitutes.size, 0);
+});
+
+test('4,000 machines that no record knows are believed as soon as each has reported twice', () => {
+  let now = 0;
+  const ctx = { clock: { now: () => steady(now) }, settings: { cloudLimits: { list_lag_s: 5 } } };
+  const unknown = new UnknownMachines(ctx as unknown as Context);
+  for (const tally of [1, 2])
+    for (let i = 0; i < MACHINES; i++) {
+      now += 0.6;
+      const report = reportFromWire({
+        teller: `n-${i}`,
+        flavor: 'm',
+        vault: 'a',
+        shift: 1,
+        tally,
+        shards: [],
+      });
+      unknown.noteReport(report!);
+    }
+  assert.equal(unknown.size, MACHINES);
+});
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -192,6 +192,28 @@
   assert.equal((await first).statusCode, 201);
 });
 
+test('however slow the answers to questions are, submissions are taken', async () => {
+  let answer: (() => void) | undefined;
+  const find = () =>
+    new Promise((resolve) => {
+      answer = () => {
+        resolve(undefined);
+      };
+    });
+  const { app, seen } = server({ find }, 1);
+  const slow = app.inject({ method: 'GET', url: '/v1/jobs/wk-1' });
+  // inject() begins when it is waited for.
+  void slow.then(() => undefined);
+  while (answer === undefined) await new Promise((r) => setImmediate(r));
+  const asked = await app.inject({ method: 'GET', url: '/v1/jobs/wk-2' });
+  assert.equal(asked.statusCode, 429);
+  assert.ok(Number(asked.headers['retry-after']) >= 1);
+  assert.equal((await post(app, '/v1/jobs', submission())).statusCode, 201);
+  assert.equal(seen.length, 1);
+  answer();
+  await slow;
+});
+
 test('unknown jobs are 404, what can never run is 422, reports are answered or 400', async () => {
   const { app } = server({ submit: () => Promise.resolve({ kind: 'impossible', why: 'unknown_team' }) });
   assert.equal((await app.inject({ method: 'GET', url: '/v1/jobs/wk-9' })).statusCode, 404);
