--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -196,13 +196,13 @@
   });
   const vast = job('wk-1', 25_000, 0, 30);
   const single = job('wk-2', 1, 20, 900);
-  const first = (wallS: number, running: readonly string[]) => {
+  const first = (wallS: number, running: readonly string[], other = single) => {
     const order = jobOrder({
       wall: wallMs(wallS * 1000),
       hasTasks: (id) => running.includes(id),
       behindMs: 60_000,
     });
-    return [vast, single].sort(order)[0]!.spec.id;
+    return [vast, other].sort(order)[0]!.spec.id;
   };
   assert.equal(first(50, ['wk-1']), 'wk-1', 'by due time');
   assert.equal(
@@ -211,6 +211,10 @@
     'the vast one is late in any case, and nothing of the other runs',
   );
   assert.equal(first(120, ['wk-1', 'wk-2']), 'wk-1');
+  // It came when the vast one was all but due, and has waited as long as any.
+  const later = job('wk-3', 1, 60, 900);
+  assert.equal(first(125, ['wk-1'], later), 'wk-3');
+  assert.equal(first(115, ['wk-1'], later), 'wk-1', 'not before it has waited');
   assert.equal(first(150, []), 'wk-1', 'neither runs: the one that has waited longer');
 });
 
