--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -68,8 +68,8 @@
   assert.ok(led.size >= 8, `only ${led.size} lives led`);
 });
 
-// With the third seed a task is done, its result not written and its part of the team's limit used again; its worker forgets
-// it with its lease, and whoever owns the machine then starts it anew.
+// With such a seed a task was done, its result not written and its part of the team's limit used again; its worker forgot it
+// with its lease, and whoever owned the machine then started it anew: the team used more than its limit.
 meeting(
   'all controllers are away for longer than a lease',
   async (sim) => {
