--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Failures } from '../src/core/failures.js';
+import { parseKey } from '../src/core/keys.js';
 import { jobId, machineName, steady } from '../src/core/types.js';
 import { all, begun, calledOff, leads, meeting, wait } from './sim/meeting.js';
 import type { Sim } from './sim/run.js';
@@ -83,7 +84,7 @@
 
 const drained = (sim: Sim) =>
   [...sim.state.rows].filter(
-    ([k, r]) => k.startsWith('p/m/') && (r.value as { drain?: boolean }).drain === true,
+    ([k, r]) => parseKey(k).kind === 'machine' && (r.value as { drain?: boolean }).drain === true,
   );
 
 for (const [kind, tasks, most] of [
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -7,7 +7,7 @@
 import { UnknownMachines } from '../src/controller/leader/unknown-machines.js';
 import { SubstituteList } from '../src/controller/substitute-list.js';
 import { Ledger } from '../src/core/ledger.js';
-import { key } from '../src/core/keys.js';
+import { key, parseKey } from '../src/core/keys.js';
 import { placedOf } from '../src/core/placed.js';
 import { bytesOf } from '../src/core/records.js';
 import {
@@ -59,7 +59,7 @@
 
   // A controller is lost: its slice goes by one change, and no worker's lease runs out.
   const lost = all(sim).find((n) => n !== leads(sim))!;
-  const records = () => [...sim.state.rows].filter(([k]) => k.startsWith('p/m/'));
+  const records = () => [...sim.state.rows].filter(([k]) => parseKey(k).kind === 'machine');
   const versions = new Map(records().map(([k, r]) => [k, r.rev]));
   lost.crash();
   await wait(sim, 12_000);
--- a/test/silent-controllers.test.ts
+++ b/test/silent-controllers.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { key, parseKey } from '../src/core/keys.js';
 import type { Node } from './sim/node.js';
 import { LEASE_MS, all, begun, busy, calledOff, leads, meeting, wait } from './sim/meeting.js';
 import type { Sim } from './sim/run.js';
@@ -15,7 +16,7 @@
 
 const owners = (sim: Sim) => all(sim).filter((n) => n !== leads(sim));
 const holderOf = (sim: Sim, slice: string) =>
-  (sim.state.rows.get(`p/o/${slice}`)?.value as { holder: string } | undefined)?.holder;
+  (sim.state.rows.get(key.slice(slice))?.value as { holder: string } | undefined)?.holder;
 
 async function silent(sim: Sim, nodes: readonly Node[], ms: number): Promise<void> {
   for (const n of nodes) n.clock.pause();
@@ -29,7 +30,7 @@
   const { name } = node!;
   const inSlice = () =>
     [...sim.state.rows]
-      .filter(([k, r]) => k.startsWith('p/m/') && (r.value as { owner: string }).owner === name)
+      .filter(([k, r]) => parseKey(k).kind === 'machine' && (r.value as { owner: string }).owner === name)
       .map(([k]) => k);
   const before = inSlice();
   node!.clock.pause();
