--- a/eslint.config.js
+++ b/eslint.config.js
@@ -65,7 +65,7 @@
     },
   },
   {
-    files: ['src/**'],
+    files: ['src/**', 'packages/*/src/**'],
     plugins: { jsdoc },
     rules: {
       'jsdoc/require-jsdoc': [
--- /dev/null
+++ b/packages/warm-standby/src/cluster.ts
@@ -0,0 +1,35 @@
+/** Which controllers stand by for which slice, by what is committed now. */
+import type { NodeName } from '../../../src/core/types.js';
+import type { Service, SliceFact } from '../../../src/packages/api.js';
+import type { FailureDomains } from './failure-domains.js';
+import { placeStandbys } from './placement.js';
+
+/** The controllers as this package sees them. */
+export class Cluster {
+  constructor(
+    private readonly service: Service,
+    readonly domains: FailureDomains,
+    readonly domainOf: ReadonlyMap<string, string>,
+    private readonly degree: number,
+  ) {}
+
+  /** The standbys of a slice, the first in order first. */
+  standbysOf({ slice, holder }: SliceFact): NodeName[] {
+    const candidates = this.service.facts
+      .sessions()
+      .filter((s) => !s.isDraining && this.domainOf.has(s.node))
+      .map((s) => s.node);
+    return placeStandbys({ slice, holder, candidates, domainOf: this.domainOf, degree: this.degree });
+  }
+
+  /** Slices that this process holds and knows all about. */
+  heldSlices(): SliceFact[] {
+    const { facts, incarnation } = this.service;
+    return facts.slices().filter((s) => s.incarnation === incarnation && facts.isHeldCompletely(s.slice));
+  }
+
+  /** All controllers but this one and the one given. */
+  othersThan(node: NodeName): NodeName[] {
+    return this.service.peers.map((p) => p.node).filter((n) => n !== node);
+  }
+}
--- /dev/null
+++ b/packages/warm-standby/src/entries.ts
@@ -0,0 +1,91 @@
+/** What the decision log holds: decisions of a slice's holder, and what it has learned and not written down yet. */
+import type { ServiceEvent, TaskOnMachine } from '../../../src/core/events.js';
+import type { Run } from '../../../src/core/slowness.js';
+import type { Attempt, ExitWhy, JobId, MachineName, Token, WallMs } from '../../../src/core/types.js';
+
+/** One entry. Times are times of day: steady clocks of two controllers have nothing in common. */
+export type LogEntry =
+  | { readonly kind: 'start' | 'stop' | 'preempt'; readonly task: TaskOnMachine }
+  /** A task has left its machine; its result may not be written yet. */
+  | { readonly kind: 'left'; readonly task: TaskOnMachine; readonly why: ExitWhy | 'absent' }
+  | {
+      readonly kind: 'worker';
+      readonly machine: MachineName;
+      readonly address: string;
+      readonly session: number;
+      readonly seq: number;
+      readonly token: Token;
+      readonly heardAt: WallMs;
+    }
+  | {
+      readonly kind: 'job_failing';
+      readonly job: JobId;
+      readonly rounds: number;
+      readonly why: 'error' | 'unknown';
+      readonly machines: readonly MachineName[];
+      readonly retryAt: WallMs;
+    }
+  | { readonly kind: 'run'; readonly machine: MachineName; readonly run: Run };
+
+/** Where an entry belongs. */
+export type EntrySubject =
+  { readonly kind: 'machine'; readonly machine: MachineName } | { readonly kind: 'job'; readonly job: JobId };
+
+/** An entry and what decides whose slice it belongs to. */
+export interface Recorded {
+  readonly subject: EntrySubject;
+  readonly entry: LogEntry;
+}
+
+/** The clocks at one moment, to turn times of one into times of the other. */
+export interface Moment {
+  readonly steady: number;
+  readonly wall: number;
+}
+
+const ofMachine = (machine: MachineName, entry: LogEntry): Recorded => ({
+  subject: { kind: 'machine', machine },
+  entry,
+});
+
+const taskOf = (machine: MachineName, c: { job: JobId; index: number; attempt: Attempt }): TaskOnMachine => ({
+  machine,
+  job: c.job,
+  index: c.index,
+  attempt: c.attempt,
+});
+
+/** The entry that an event of the service makes, or null where the log does not follow it. */
+export function entryOf(event: ServiceEvent, now: Moment): Recorded | null {
+  switch (event.kind) {
+    case 'command_sent': {
+      const { machine, command } = event;
+      if (command.op === 'forget') return null;
+      return ofMachine(machine, { kind: command.op, task: taskOf(machine, command) });
+    }
+    case 'task_preempted':
+      return ofMachine(event.task.machine, { kind: 'preempt', task: event.task });
+    case 'task_left':
+      return ofMachine(event.task.machine, { kind: 'left', task: event.task, why: event.why ?? 'absent' });
+    case 'worker_heard': {
+      const { machine, address, session, seq, token } = event.report;
+      const heardAt = now.wall as WallMs;
+      return ofMachine(machine, { kind: 'worker', machine, address, session, seq, token, heardAt });
+    }
+    case 'task_ran':
+      return ofMachine(event.machine, { kind: 'run', machine: event.machine, run: event.run });
+    case 'job_failing': {
+      const { job, failures } = event;
+      const { rounds, why, machines, until } = failures;
+      const retryAt = (now.wall + Math.max(0, until - now.steady)) as WallMs;
+      return {
+        subject: { kind: 'job', job },
+        entry: { kind: 'job_failing', job, rounds, why, machines: [...machines], retryAt },
+      };
+    }
+    case 'job_accepted':
+    case 'task_placed':
+    case 'transaction':
+      return null;
+  }
+}
--- /dev/null
+++ b/packages/warm-standby/src/holder-monitor.ts
@@ -0,0 +1,38 @@
+/** How long holders have been silent, and how suspicious that is. */
+import type { NodeName, Steady } from '../../../src/core/types.js';
+import type { Options } from './options.js';
+import { PhiAccrual } from './phi-accrual.js';
+
+/** Intervals of more heartbeats than this were a failure or a pause, not the sender's usual rhythm. */
+const LONGEST_USUAL_HEARTBEATS = 8;
+
+/** Watches the holders that send to this controller. */
+export class HolderMonitor {
+  private readonly holders = new Map<NodeName, PhiAccrual>();
+
+  constructor(
+    private readonly heartbeatMs: number,
+    private readonly options: Options['detection'],
+  ) {}
+
+  heard(holder: NodeName, now: Steady): void {
+    const watched = this.holders.get(holder) ?? new PhiAccrual(this.heartbeatMs * LONGEST_USUAL_HEARTBEATS);
+    this.holders.set(holder, watched);
+    watched.heard(now);
+  }
+
+  phi(holder: NodeName, now: Steady): number {
+    return this.holders.get(holder)?.phi(now) ?? 0;
+  }
+
+  lastHeardAt(holder: NodeName): number | null {
+    return this.holders.get(holder)?.lastHeardAt ?? null;
+  }
+
+  isSuspected(holder: NodeName, now: Steady): boolean {
+    const watched = this.holders.get(holder);
+    const silenceMs = watched?.silenceMs(now) ?? null;
+    if (watched === undefined || silenceMs === null) return false;
+    return silenceMs >= this.options.least_silence_ms && watched.phi(now) >= this.options.phi;
+  }
+}
--- /dev/null
+++ b/packages/warm-standby/src/messages.ts
@@ -0,0 +1,376 @@
+/** Messages between standbys and holders, and their form on the wire: protobuf, with a version of the format. */
+import protobuf from 'protobufjs/light.js';
+import type { Attempt, ExitWhy, JobId, MachineName, NodeName, Version } from '../../../src/core/types.js';
+import type { LogEntry } from './entries.js';
+import type { AppendMessage, SnapshotMessage } from './replica.js';
+
+/** The version of the format that this program writes; it reads this and older ones. */
+export const FORMAT_VERSION = 1;
+
+/** Topics of the package. */
+export const TOPIC = {
+  append: 'warm_standby.append',
+  snapshot: 'warm_standby.snapshot',
+  probe: 'warm_standby.probe',
+  prepare: 'warm_standby.prepare',
+} as const;
+
+/** Why a message was not taken. */
+export class MessageError extends Error {
+  constructor(
+    readonly code: 'malformed' | 'unsupported',
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+/** Who sends about which slice. */
+interface Sender {
+  readonly node: NodeName;
+  readonly slice: NodeName;
+}
+
+/** An append, with its sender. */
+export type Append = AppendMessage & Sender;
+/** A part of a snapshot, with its sender. */
+export type Snapshot = SnapshotMessage & Sender;
+
+/** What became of an append or of a part of a snapshot. */
+export interface Acknowledgement {
+  readonly status: 'applied' | 'gap' | 'stale' | 'refused' | 'unsupported' | 'malformed';
+  /** The last entry that the standby has applied. */
+  readonly applied: number;
+}
+
+/** Asks whether the receiver reaches a holder, and how far it is with a slice. */
+export interface Probe {
+  readonly holder: NodeName;
+  readonly slice: NodeName;
+  readonly epoch: Version;
+}
+
+/** The answer to a probe. */
+export interface ProbeAnswer {
+  readonly reaches: boolean;
+  /** The last entry applied under that epoch, or null where the receiver is no warm standby of the slice. */
+  readonly applied: number | null;
+}
+
+/** Asks a standby whether it takes a slice in a planned handover. */
+export interface Prepare {
+  readonly slice: NodeName;
+  readonly epoch: Version;
+  readonly head: number;
+  /** Context of the handover's span. */
+  readonly traceParent: string;
+}
+
+/** The answer to that. */
+export interface PrepareAnswer {
+  readonly accepted: boolean;
+  readonly reason: string;
+}
+
+// Numbers of 64 bits go as doubles: revisions and attempts are whole numbers below 2^53 in this program.
+const root = protobuf.Root.fromJSON({
+  nested: {
+    Task: {
+      fields: {
+        job: { type: 'string', id: 1 },
+        index: { type: 'uint32', id: 2 },
+        attempt: { type: 'double', id: 3 },
+        machine: { type: 'string', id: 4 },
+        why: { type: 'string', id: 5 },
+      },
+    },
+    Worker: {
+      fields: {
+        machine: { type: 'string', id: 1 },
+        address: { type: 'string', id: 2 },
+        session: { type: 'double', id: 3 },
+        seq: { type: 'double', id: 4 },
+        token: { type: 'double', id: 5 },
+        heardAt: { type: 'double', id: 6 },
+      },
+    },
+    Failing: {
+      fields: {
+        job: { type: 'string', id: 1 },
+        rounds: { type: 'uint32', id: 2 },
+        why: { type: 'string', id: 3 },
+        machines: { rule: 'repeated', type: 'string', id: 4 },
+        retryAt: { type: 'double', id: 5 },
+      },
+    },
+    Run: {
+      fields: {
+        machine: { type: 'string', id: 1 },
+        job: { type: 'string', id: 2 },
+        cls: { type: 'string', id: 3 },
+        tookS: { type: 'double', id: 4 },
+        estimateS: { type: 'double', id: 5 },
+      },
+    },
+    Entry: {
+      oneofs: { body: { oneof: ['start', 'stop', 'preempt', 'left', 'worker', 'failing', 'run'] } },
+      fields: {
+        start: { type: 'Task', id: 1 },
+        stop: { type: 'Task', id: 2 },
+        preempt: { type: 'Task', id: 3 },
+        left: { type: 'Task', id: 4 },
+        worker: { type: 'Worker', id: 5 },
+        failing: { type: 'Failing', id: 6 },
+        run: { type: 'Run', id: 7 },
+      },
+    },
+    Message: {
+      fields: {
+        version: { type: 'uint32', id: 1 },
+        node: { type: 'string', id: 2 },
+        slice: { type: 'string', id: 3 },
+        epoch: { type: 'double', id: 4 },
+        number: { type: 'double', id: 5 },
+        head: { type: 'double', id: 6 },
+        part: { type: 'uint32', id: 7 },
+        parts: { type: 'uint32', id: 8 },
+        entries: { rule: 'repeated', type: 'Entry', id: 9 },
+        text: { type: 'string', id: 10 },
+        yes: { type: 'bool', id: 11 },
+        hasNumber: { type: 'bool', id: 12 },
+      },
+    },
+  },
+});
+const MessageType = root.lookupType('Message');
+const EntryType = root.lookupType('Entry');
+
+interface Fields {
+  version: number;
+  node: string;
+  slice: string;
+  epoch: number;
+  number: number;
+  head: number;
+  part: number;
+  parts: number;
+  entries: EntryFields[];
+  text: string;
+  yes: boolean;
+  hasNumber: boolean;
+}
+interface TaskFields {
+  job: string;
+  index: number;
+  attempt: number;
+  machine: string;
+  why?: string;
+}
+type WorkerFields = Extract<LogEntry, { kind: 'worker' }>;
+type FailingFields = Extract<LogEntry, { kind: 'job_failing' }>;
+interface RunFields {
+  machine: string;
+  job: string;
+  cls: string;
+  tookS: number;
+  estimateS: number;
+}
+interface EntryFields {
+  body?: 'start' | 'stop' | 'preempt' | 'left' | 'worker' | 'failing' | 'run';
+  start?: TaskFields;
+  stop?: TaskFields;
+  preempt?: TaskFields;
+  left?: TaskFields;
+  worker?: WorkerFields;
+  failing?: FailingFields;
+  run?: RunFields;
+}
+
+function entryFields(entry: LogEntry): EntryFields {
+  switch (entry.kind) {
+    case 'start':
+    case 'stop':
+    case 'preempt':
+      return { [entry.kind]: entry.task };
+    case 'left':
+      return { left: { ...entry.task, why: entry.why } };
+    case 'worker':
+      return { worker: entry };
+    case 'job_failing':
+      return { failing: entry };
+    case 'run':
+      return { run: { machine: entry.machine, ...entry.run } };
+  }
+}
+
+const taskFrom = (t: TaskFields) => ({
+  job: t.job as JobId,
+  index: t.index,
+  attempt: t.attempt as Attempt,
+  machine: t.machine as MachineName,
+});
+
+function entryFrom(e: EntryFields): LogEntry {
+  switch (e.body) {
+    case 'start':
+    case 'stop':
+    case 'preempt':
+      return { kind: e.body, task: taskFrom(e[e.body]!) };
+    case 'left':
+      return { kind: 'left', task: taskFrom(e.left!), why: (e.left!.why ?? 'absent') as ExitWhy | 'absent' };
+    case 'worker': {
+      const { machine, address, session, seq, token, heardAt } = e.worker!;
+      return {
+        kind: 'worker',
+        machine,
+        address,
+        session,
+        seq,
+        token: token,
+        heardAt: heardAt,
+      };
+    }
+    case 'failing': {
+      const { job, rounds, why, machines, retryAt } = e.failing!;
+      return { kind: 'job_failing', job, rounds, why, machines: [...machines], retryAt };
+    }
+    case 'run': {
+      const { machine, job, cls, tookS, estimateS } = e.run!;
+      const run = { job: job as JobId, cls, tookS, estimateS };
+      return { kind: 'run', machine: machine as MachineName, run };
+    }
+    case undefined:
+      throw new MessageError('malformed', 'an entry of no known kind');
+  }
+}
+
+const encode = (fields: Partial<Fields>): Uint8Array =>
+  MessageType.encode(MessageType.create({ version: FORMAT_VERSION, ...fields })).finish();
+
+function decode(bytes: Uint8Array): Fields {
+  let fields: Fields;
+  try {
+    fields = MessageType.decode(bytes) as unknown as Fields;
+  } catch (e) {
+    throw new MessageError('malformed', (e as Error).message);
+  }
+  if (fields.version > FORMAT_VERSION)
+    throw new MessageError('unsupported', `format ${fields.version}, this program knows ${FORMAT_VERSION}`);
+  if (fields.version < 1) throw new MessageError('malformed', 'no version');
+  return fields;
+}
+
+/** A whole number from 0 on. */
+function whole(value: number, name: string): number {
+  if (!Number.isSafeInteger(value) || value < 0) throw new MessageError('malformed', `${name}: ${value}`);
+  return value;
+}
+
+const epochOf = (f: Fields): Version => whole(f.epoch, 'epoch') as Version;
+const senderOf = (f: Fields): Sender => ({ node: f.node as NodeName, slice: f.slice as NodeName });
+
+/** About how many bytes an entry takes in a message. */
+export const entrySize = (entry: LogEntry): number =>
+  EntryType.encode(EntryType.create(entryFields(entry))).finish().length + 4;
+
+/** Writes an append. */
+export const encodeAppend = (m: Append): Uint8Array =>
+  encode({
+    node: m.node,
+    slice: m.slice,
+    epoch: m.epoch,
+    number: m.first,
+    head: m.head,
+    entries: m.entries.map(entryFields),
+  });
+
+/** Reads an append. Throws `MessageError`. */
+export function decodeAppend(bytes: Uint8Array): Append {
+  const f = decode(bytes);
+  const first = whole(f.number, 'first');
+  if (first < 1) throw new MessageError('malformed', 'first: 0');
+  return {
+    ...senderOf(f),
+    epoch: epochOf(f),
+    first,
+    head: whole(f.head, 'head'),
+    entries: f.entries.map(entryFrom),
+  };
+}
+
+/** Writes a part of a snapshot. */
+export const encodeSnapshot = (m: Snapshot): Uint8Array =>
+  encode({
+    node: m.node,
+    slice: m.slice,
+    epoch: m.epoch,
+    number: m.upTo,
+    part: m.part,
+    parts: m.parts,
+    entries: m.entries.map(entryFields),
+  });
+
+/** Reads a part of a snapshot. Throws `MessageError`. */
+export function decodeSnapshot(bytes: Uint8Array): Snapshot {
+  const f = decode(bytes);
+  if (f.parts < 1 || f.part >= f.parts) throw new MessageError('malformed', `part ${f.part} of ${f.parts}`);
+  return {
+    ...senderOf(f),
+    epoch: epochOf(f),
+    upTo: whole(f.number, 'upTo'),
+    part: f.part,
+    parts: f.parts,
+    entries: f.entries.map(entryFrom),
+  };
+}
+
+/** Writes an acknowledgement. */
+export const encodeAcknowledgement = (m: Acknowledgement): Uint8Array =>
+  encode({ text: m.status, number: m.applied });
+
+/** Reads an acknowledgement. Throws `MessageError`. */
+export function decodeAcknowledgement(bytes: Uint8Array): Acknowledgement {
+  const f = decode(bytes);
+  return { status: f.text as Acknowledgement['status'], applied: whole(f.number, 'applied') };
+}
+
+/** Writes a probe. */
+export const encodeProbe = (m: Probe): Uint8Array =>
+  encode({ node: m.holder, slice: m.slice, epoch: m.epoch });
+
+/** Reads a probe. Throws `MessageError`. */
+export function decodeProbe(bytes: Uint8Array): Probe {
+  const f = decode(bytes);
+  const { node, slice } = senderOf(f);
+  return { holder: node, slice, epoch: epochOf(f) };
+}
+
+/** Writes the answer to a probe. */
+export const encodeProbeAnswer = (m: ProbeAnswer): Uint8Array =>
+  encode({ yes: m.reaches, number: m.applied ?? 0, hasNumber: m.applied !== null });
+
+/** Reads the answer to a probe. Throws `MessageError`. */
+export function decodeProbeAnswer(bytes: Uint8Array): ProbeAnswer {
+  const f = decode(bytes);
+  return { reaches: f.yes, applied: f.hasNumber ? whole(f.number, 'applied') : null };
+}
+
+/** Writes the question before a handover. */
+export const encodePrepare = (m: Prepare): Uint8Array =>
+  encode({ slice: m.slice, epoch: m.epoch, head: m.head, text: m.traceParent });
+
+/** Reads the question before a handover. Throws `MessageError`. */
+export function decodePrepare(bytes: Uint8Array): Prepare {
+  const f = decode(bytes);
+  return { slice: f.slice as NodeName, epoch: epochOf(f), head: whole(f.head, 'head'), traceParent: f.text };
+}
+
+/** Writes the answer to that. */
+export const encodePrepareAnswer = (m: PrepareAnswer): Uint8Array =>
+  encode({ yes: m.accepted, text: m.reason });
+
+/** Reads the answer to that. Throws `MessageError`. */
+export function decodePrepareAnswer(bytes: Uint8Array): PrepareAnswer {
+  const f = decode(bytes);
+  return { accepted: f.yes, reason: f.text };
+}
--- /dev/null
+++ b/packages/warm-standby/src/metrics.ts
@@ -0,0 +1,88 @@
+/** Metrics of the package in the text format of Prometheus. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { Publisher } from './publisher.js';
+import type { Receiver } from './receiver.js';
+import type { TakeoverLoop } from './takeover.js';
+import { phasesOf, type Takeover } from './takeover-history.js';
+
+const PREFIX = 'pepperbank_standby_';
+const PHASE_SECONDS = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32];
+
+/** What the metrics are read from. */
+export interface MetricSources {
+  readonly publisher: Publisher;
+  readonly receiver: Receiver;
+  readonly takeovers: TakeoverLoop;
+}
+
+/** The metrics of one controller. */
+export class Metrics {
+  private readonly registry = new Registry();
+  private readonly phases: Histogram;
+  private readonly causes: Counter;
+
+  constructor(sources: MetricSources) {
+    const { publisher, receiver, takeovers } = sources;
+    this.phases = new Histogram({
+      name: `${PREFIX}takeover_phase_seconds`,
+      help: 'Length of the phases of takeovers by this controller',
+      labelNames: ['phase', 'cause'],
+      buckets: PHASE_SECONDS,
+      registers: [this.registry],
+    });
+    this.causes = new Counter({
+      name: `${PREFIX}takeovers_total`,
+      help: 'Slices that came to this controller',
+      labelNames: ['cause'],
+      registers: [this.registry],
+    });
+    this.gauge('sent_bytes', 'Bytes sent to standbys since the start', () => publisher.bytesSent);
+    this.gauge('received_bytes', 'Bytes received from holders since the start', () => receiver.bytesReceived);
+    this.gauge('snapshots', 'Snapshots sent to standbys since the start', () => publisher.snapshotsSent);
+    this.gauge('suspicions', 'Suspicions of holders since the start', () => takeovers.counts.suspicions);
+    this.gauge('refuted', 'Suspicions refuted by an answer since the start', () => takeovers.counts.refuted);
+    this.gauge(
+      'false_takeovers',
+      'Takeovers of holders that were alive, since the start',
+      () => takeovers.counts.falseTakeovers,
+    );
+    this.lagGauge(publisher);
+  }
+
+  private gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: PREFIX + name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  private lagGauge(publisher: Publisher): void {
+    new Gauge({
+      name: `${PREFIX}lag_entries`,
+      help: 'Entries that a standby of a slice held here has not acknowledged',
+      labelNames: ['slice', 'standby'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [slice, { log, followers }] of publisher.slices)
+          for (const f of followers.values()) this.set({ slice, standby: f.node }, log.head - f.acknowledged);
+      },
+    });
+  }
+
+  /** A takeover is over, or no longer followed. */
+  noteTakeover(takeover: Takeover): void {
+    const { cause } = takeover;
+    this.causes.inc({ cause });
+    for (const [phase, ms] of Object.entries(phasesOf(takeover)))
+      this.phases.observe({ phase, cause }, ms / 1000);
+  }
+
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/warm-standby/src/placement.ts
@@ -0,0 +1,41 @@
+/**
+ * Which controllers stand by for a slice: by rendezvous hashing, so that all controllers come to the same answer without
+ * asking one another, and one that comes or goes moves only the standbys that it gains or had.
+ */
+import { createHash } from 'node:crypto';
+import type { NodeName } from '../../../src/core/types.js';
+
+/** What placement depends on. */
+export interface PlacementInput {
+  readonly slice: NodeName;
+  readonly holder: NodeName;
+  /** Controllers that may stand by: they have a session and are not about to end. */
+  readonly candidates: readonly NodeName[];
+  readonly domainOf: ReadonlyMap<string, string>;
+  readonly degree: number;
+}
+
+const weightOf = (slice: NodeName, node: NodeName): string =>
+  createHash('sha256').update(`${slice}\n${node}`).digest('hex');
+
+/**
+ * The standbys of a slice, the first in order first. None of them is in the holder's failure domain, and as long as there
+ * are domains left no two of them share one.
+ */
+export function placeStandbys(input: PlacementInput): NodeName[] {
+  const { slice, holder, candidates, domainOf, degree } = input;
+  const ranked = candidates
+    .filter((node) => node !== holder && domainOf.get(node) !== domainOf.get(holder))
+    .map((node) => ({ node, weight: weightOf(slice, node) }))
+    .sort((a, b) => (a.weight < b.weight ? 1 : -1))
+    .map(({ node }) => node);
+  const seen = new Set<string | undefined>();
+  const apart: NodeName[] = [];
+  const together: NodeName[] = [];
+  for (const node of ranked) {
+    const domain = domainOf.get(node);
+    (seen.has(domain) ? together : apart).push(node);
+    seen.add(domain);
+  }
+  return [...apart, ...together].slice(0, degree);
+}
--- /dev/null
+++ b/packages/warm-standby/src/receiver.ts
@@ -0,0 +1,150 @@
+/** The standby's side of the messages: follows the logs of slices, answers probes and the question before a handover. */
+import type { NodeName } from '../../../src/core/types.js';
+import type { Service, SliceFact } from '../../../src/packages/api.js';
+import type { Cluster } from './cluster.js';
+import type { HolderMonitor } from './holder-monitor.js';
+import {
+  MessageError,
+  TOPIC,
+  decodeAppend,
+  decodePrepare,
+  decodeProbe,
+  decodeSnapshot,
+  encodeAcknowledgement,
+  encodePrepareAnswer,
+  encodeProbeAnswer,
+  type Acknowledgement,
+  type Append,
+  type Prepare,
+  type PrepareAnswer,
+  type Snapshot,
+} from './messages.js';
+import type { Options } from './options.js';
+import { Replica, type ReplicaOutcome } from './replica.js';
+
+/** A witness tries the holder for a part of the time that whoever asks it waits. */
+const WITNESS_PART = 0.6;
+
+/** Told that a planned handover of a slice was accepted, and where its span belongs. */
+export type PreparedListener = (slice: NodeName, traceParent: string) => void;
+
+/** Serves the topics of the package. */
+export class Receiver {
+  readonly replicas = new Map<NodeName, Replica>();
+  /** Messages that were not taken, by reason. */
+  readonly rejected = { malformed: 0, unsupported: 0, refused: 0, stale: 0 };
+  bytesReceived = 0;
+
+  constructor(
+    private readonly service: Service,
+    private readonly cluster: Cluster,
+    private readonly monitor: HolderMonitor,
+    private readonly options: Options,
+    private readonly prepared: PreparedListener,
+  ) {
+    const { channel } = service;
+    channel.serve(TOPIC.append, (bytes, from) =>
+      this.follow(bytes, from, decodeAppend, (m) => this.append(m)),
+    );
+    channel.serve(TOPIC.snapshot, (bytes, from) =>
+      this.follow(bytes, from, decodeSnapshot, (m) => this.snapshot(m)),
+    );
+    channel.serve(TOPIC.probe, (bytes, from) => this.probe(bytes, from));
+    channel.serve(TOPIC.prepare, (bytes, from) => Promise.resolve(this.prepare(bytes, from)));
+  }
+
+  /** Whether this controller may claim to be warm for the slice. */
+  isWarm(slice: SliceFact): boolean {
+    const { max_lag_entries, max_lag_ms } = this.options.replication;
+    return this.replicas.get(slice.slice)?.isWarm(slice.epoch, max_lag_entries, max_lag_ms) === true;
+  }
+
+  /** The slice is this controller's now: it has no use for a replica of it. */
+  forget(slice: NodeName): void {
+    this.replicas.delete(slice);
+  }
+
+  private follow<M extends Append | Snapshot>(
+    bytes: Uint8Array,
+    from: string,
+    decode: (bytes: Uint8Array) => M,
+    take: (message: M) => ReplicaOutcome,
+  ): Promise<Uint8Array> {
+    this.bytesReceived += bytes.length;
+    return Promise.resolve(encodeAcknowledgement(this.acknowledge(bytes, from, decode, take)));
+  }
+
+  private acknowledge<M extends Append | Snapshot>(
+    bytes: Uint8Array,
+    from: string,
+    decode: (bytes: Uint8Array) => M,
+    take: (message: M) => ReplicaOutcome,
+  ): Acknowledgement {
+    if (!this.cluster.domains.accepts(from)) return this.reject('refused');
+    try {
+      const message = decode(bytes);
+      const fact = this.service.facts.slice(message.slice);
+      // A view that is behind does not know the sender's epoch yet: it is not the message that is old then.
+      if (fact !== null && message.epoch < fact.epoch) return this.reject('stale');
+      const status = take(message);
+      if (status === 'stale') return this.reject('stale');
+      this.monitor.heard(message.node, this.service.clock.now());
+      return { status, applied: this.replicas.get(message.slice)?.applied ?? 0 };
+    } catch (e) {
+      if (!(e instanceof MessageError)) throw e;
+      this.service.log.info({ from, code: e.code, why: e.message }, 'standby message rejected');
+      return this.reject(e.code);
+    }
+  }
+
+  private reject(status: keyof Receiver['rejected']): Acknowledgement {
+    this.rejected[status]++;
+    return { status, applied: 0 };
+  }
+
+  private replicaOf(slice: NodeName): Replica {
+    const replica = this.replicas.get(slice) ?? new Replica(slice);
+    this.replicas.set(slice, replica);
+    return replica;
+  }
+
+  private append(message: Append): ReplicaOutcome {
+    return this.replicaOf(message.slice).append(message, this.service.clock.now());
+  }
+
+  private snapshot(message: Snapshot): ReplicaOutcome {
+    return this.replicaOf(message.slice).snapshot(message, this.service.clock.now());
+  }
+
+  private async probe(bytes: Uint8Array, from: string): Promise<Uint8Array | null> {
+    if (!this.cluster.domains.accepts(from)) return null;
+    const { node, channel, facts } = this.service;
+    const { holder, slice, epoch } = decodeProbe(bytes);
+    const { probe_ms } = this.options.detection;
+    const reaches = holder === node || (await channel.isAnswering(holder, probe_ms * WITNESS_PART));
+    const fact = facts.slice(slice);
+    const competes = fact !== null && fact.epoch === epoch && this.isWarm(fact);
+    const isStandby = competes && this.cluster.standbysOf(fact).includes(node);
+    const applied = isStandby ? (this.replicas.get(slice)?.applied ?? null) : null;
+    return encodeProbeAnswer({ reaches, applied });
+  }
+
+  private prepare(bytes: Uint8Array, from: string): Uint8Array | null {
+    if (!this.cluster.domains.accepts(from)) return null;
+    const message = decodePrepare(bytes);
+    const answer = this.judge(message);
+    if (answer.accepted) this.prepared(message.slice, message.traceParent);
+    return encodePrepareAnswer(answer);
+  }
+
+  private judge({ slice, epoch, head }: Prepare): PrepareAnswer {
+    const { facts, node } = this.service;
+    const replica = this.replicas.get(slice);
+    if (replica?.epoch !== epoch) return { accepted: false, reason: 'does not follow this slice' };
+    if ((replica.applied ?? 0) < head) return { accepted: false, reason: 'is behind' };
+    const session = facts.sessions().find((s) => s.node === node);
+    if (session === undefined) return { accepted: false, reason: 'has no session' };
+    if (session.isDraining) return { accepted: false, reason: 'is about to end itself' };
+    return { accepted: true, reason: '' };
+  }
+}
--- /dev/null
+++ b/packages/warm-standby/src/status.ts
@@ -0,0 +1,88 @@
+/** What `status` shows of the package. */
+import type { Service, SliceFact } from '../../../src/packages/api.js';
+import type { Cluster } from './cluster.js';
+import type { HolderMonitor } from './holder-monitor.js';
+import type { Publisher } from './publisher.js';
+import type { Receiver } from './receiver.js';
+import type { TakeoverLoop } from './takeover.js';
+import { phasesOf, type TakeoverHistory } from './takeover-history.js';
+
+/** The parts that it is read from. */
+export interface StatusSources {
+  readonly service: Service;
+  readonly cluster: Cluster;
+  readonly monitor: HolderMonitor;
+  readonly publisher: Publisher;
+  readonly receiver: Receiver;
+  readonly takeovers: TakeoverLoop;
+  readonly history: TakeoverHistory;
+}
+
+function holderPart({ publisher }: StatusSources, fact: SliceFact): object {
+  const published = publisher.slices.get(fact.slice);
+  if (published === undefined) return {};
+  const { log, followers } = published;
+  return {
+    head: log.head,
+    followers: [...followers.values()].map((f) => ({
+      standby: f.node,
+      status: f.status,
+      lagEntries: log.head - f.acknowledged,
+      sentBytes: f.bytesSent,
+    })),
+  };
+}
+
+function standbyPart(sources: StatusSources, fact: SliceFact): object {
+  const { receiver, monitor, takeovers, service } = sources;
+  const replica = receiver.replicas.get(fact.slice);
+  const now = service.clock.now();
+  const lag = replica?.epoch === fact.epoch ? replica.lag() : null;
+  const suspicion = takeovers.suspicions.get(fact.slice);
+  return {
+    warm: receiver.isWarm(fact),
+    applied: replica?.applied ?? null,
+    lagEntries: lag?.entries ?? null,
+    lagMs: lag === null ? null : Math.round(lag.ms),
+    phi: Number(monitor.phi(fact.holder, now).toFixed(2)),
+    suspected: suspicion !== undefined,
+    waitsFor: suspicion?.why ?? null,
+    backoffS: Math.ceil(takeovers.backoffOf(fact.slice).leftMs(now) / 1000),
+  };
+}
+
+/** The package's part of `status`. */
+export function standbyStatus(sources: StatusSources): object {
+  const { service, cluster, receiver, takeovers, history } = sources;
+  return {
+    failureDomains: Object.fromEntries(cluster.domainOf),
+    slices: service.facts.slices().map((fact) => {
+      const standbys = cluster.standbysOf(fact);
+      const isHolder = fact.incarnation === service.incarnation;
+      const isStandby = standbys.includes(service.node);
+      return {
+        slice: fact.slice,
+        active: fact.holder,
+        epoch: fact.epoch,
+        standbys,
+        role: isHolder ? 'holder' : isStandby ? 'standby' : 'none',
+        ...(isHolder ? holderPart(sources, fact) : isStandby ? standbyPart(sources, fact) : {}),
+      };
+    }),
+    counts: takeovers.counts,
+    rejectedMessages: receiver.rejected,
+    takeovers: history.takeovers.map((t) => ({
+      slice: t.slice,
+      from: t.from,
+      cause: t.cause,
+      epoch: t.epoch,
+      warm: t.wasWarm,
+      at: new Date(t.wall).toISOString(),
+      machines: t.machines,
+      workersKnown: t.workersKnown,
+      uncommittedEnds: t.endedTasks,
+      falseSuspicion: t.wasFalse,
+      phasesMs: phasesOf(t),
+    })),
+  };
+}
--- /dev/null
+++ b/packages/warm-standby/src/takeover-policy.ts
@@ -0,0 +1,75 @@
+/** Decides whether a standby takes a slice now, from what it knows; without input or output. */
+import type { NodeName } from '../../../src/core/types.js';
+
+/** What one other controller said of a holder that does not answer. */
+export interface Witness {
+  readonly node: NodeName;
+  /** Null: no answer. */
+  readonly reaches: boolean | null;
+  /** How far it is with the slice, where it is a warm standby of it itself. */
+  readonly applied: number | null;
+}
+
+/** What is known at the moment of the decision. */
+export interface TakeoverInput {
+  readonly isWarm: boolean;
+  /** The last entry that this standby has applied. */
+  readonly applied: number;
+  /** The holder answered this standby itself. */
+  readonly holderAnswers: boolean;
+  readonly witnesses: readonly Witness[];
+  readonly witnessesNeeded: number;
+  /** This standby's place in the order of the slice's standbys, from 0. */
+  readonly rank: number;
+  /** How long the holder has been confirmed out of reach. */
+  readonly confirmedForMs: number;
+  readonly rankDelayMs: number;
+  readonly backoffLeftMs: number;
+  readonly isStateReachable: boolean;
+}
+
+/** Why a takeover waits or is left out. */
+export type Reluctance =
+  | 'not_warm'
+  | 'holder_answers'
+  | 'holder_reached_by_another'
+  | 'no_witness'
+  | 'fresher_standby'
+  | 'not_first'
+  | 'backoff'
+  | 'state_unreachable';
+
+/** The decision. */
+export type TakeoverDecision =
+  { readonly kind: 'take' } | { readonly kind: 'wait'; readonly why: Reluctance };
+
+const wait = (why: Reluctance): TakeoverDecision => ({ kind: 'wait', why });
+
+/** Whether the holder is out of reach of all who were asked, by enough of them. */
+export function isConfirmed(
+  input: Pick<TakeoverInput, 'holderAnswers' | 'witnesses' | 'witnessesNeeded'>,
+): boolean {
+  if (input.holderAnswers || input.witnesses.some((w) => w.reaches === true)) return false;
+  return input.witnesses.filter((w) => w.reaches === false).length >= input.witnessesNeeded;
+}
+
+/** Whether another warm standby of the slice should go first: it has applied more, or as much and is before this one. */
+function firstInLine({ witnesses, applied, rank }: TakeoverInput): Reluctance | null {
+  if (witnesses.some((w) => w.applied !== null && w.applied > applied)) return 'fresher_standby';
+  return rank > 0 ? 'not_first' : null;
+}
+
+/** Whether to take the slice now. A cut between two controllers must not be taken for the death of one of them. */
+export function decideTakeover(input: TakeoverInput): TakeoverDecision {
+  if (input.holderAnswers) return wait('holder_answers');
+  if (input.witnesses.some((w) => w.reaches === true)) return wait('holder_reached_by_another');
+  if (!isConfirmed(input)) return wait('no_witness');
+  if (!input.isStateReachable) return wait('state_unreachable');
+  if (!input.isWarm) return wait('not_warm');
+  if (input.backoffLeftMs > 0) return wait('backoff');
+  // Whoever should go first is given its time, and not more: it may be gone as well.
+  const turnAfterMs = input.rankDelayMs * Math.max(1, input.rank);
+  const ahead = firstInLine(input);
+  if (ahead !== null && input.confirmedForMs < turnAfterMs) return wait(ahead);
+  return { kind: 'take' };
+}
--- /dev/null
+++ b/packages/warm-standby/src/takeover.ts
@@ -0,0 +1,284 @@
+/**
+ * The standby's loop: watches the holders of the slices that this controller stands by for, confirms a suspicion with the
+ * other controllers, and takes the slice. Suspicion starts a takeover and proves nothing; the state service decides.
+ */
+import type { NodeName, Version } from '../../../src/core/types.js';
+import type { Service, SliceFact } from '../../../src/packages/api.js';
+import { Backoff } from './backoff.js';
+import type { Cluster } from './cluster.js';
+import type { HolderMonitor } from './holder-monitor.js';
+import { MessageError, TOPIC, decodeProbeAnswer, encodeProbe } from './messages.js';
+import type { Options } from './options.js';
+import type { Publisher } from './publisher.js';
+import type { Receiver } from './receiver.js';
+import type { SliceMemory } from './slice-memory.js';
+import type { Takeover, TakeoverHistory } from './takeover-history.js';
+import { decideTakeover, isConfirmed, type Reluctance, type Witness } from './takeover-policy.js';
+
+/** Holders are looked at so often. */
+const STEP_MS = 100;
+/** Pause after a probe that did not lead to a takeover. */
+const PROBE_AGAIN_MS = 300;
+/** Nothing is taken while the state service was out of reach within this time. */
+const STATE_FRESH_MS = 1000;
+
+/** A holder that is under suspicion. */
+interface Suspicion {
+  readonly epoch: Version;
+  readonly since: number;
+  confirmedAt: number | null;
+  isProbing: boolean;
+  notBefore: number;
+  why: Reluctance | null;
+}
+
+/** Counts for operators. */
+export interface TakeoverCounts {
+  suspicions: number;
+  /** Suspicions of a holder that answered, here or elsewhere. */
+  refuted: number;
+  taken: number;
+  /** Takeovers of holders that turned out to be alive. */
+  falseTakeovers: number;
+}
+
+/** Takes over slices of holders that have failed. */
+export class TakeoverLoop {
+  readonly counts: TakeoverCounts = { suspicions: 0, refuted: 0, taken: 0, falseTakeovers: 0 };
+  readonly suspicions = new Map<NodeName, Suspicion>();
+  private readonly backoffs = new Map<NodeName, Backoff>();
+  /** The slices as they were when last looked at, to notice that one has come here. */
+  private readonly known = new Map<NodeName, SliceFact>();
+  private readonly prepared = new Map<NodeName, string>();
+
+  constructor(
+    private readonly service: Service,
+    private readonly cluster: Cluster,
+    private readonly monitor: HolderMonitor,
+    private readonly receiver: Receiver,
+    private readonly publisher: Publisher,
+    private readonly history: TakeoverHistory,
+    private readonly options: Options,
+  ) {
+    service.facts.subscribe(({ slices, sessions }) => {
+      if (slices.size > 0) this.noteSlices();
+      if (sessions.size > 0) this.noteSessions();
+    });
+  }
+
+  async run(): Promise<never> {
+    for (;;) {
+      if (this.service.facts.isReady) {
+        for (const slice of this.service.facts.slices()) this.watch(slice);
+        this.history.step();
+      }
+      await this.service.clock.sleep(STEP_MS);
+    }
+  }
+
+  /** A planned handover of the slice to this controller was accepted. */
+  expect(slice: NodeName, traceParent: string): void {
+    this.prepared.set(slice, traceParent);
+  }
+
+  backoffOf(slice: NodeName): Backoff {
+    const backoff = this.backoffs.get(slice) ?? new Backoff(this.options.takeover, this.service.random);
+    this.backoffs.set(slice, backoff);
+    return backoff;
+  }
+
+  private watch(slice: SliceFact): void {
+    const { clock, node } = this.service;
+    const now = clock.now();
+    const rank = this.cluster.standbysOf(slice).indexOf(node);
+    const isFollowed = this.receiver.replicas.get(slice.slice)?.epoch === slice.epoch;
+    // A holder without a session has failed, or is back this moment: the leader sees to it.
+    const isWatched = rank >= 0 && isFollowed && slice.hasSession;
+    if (!isWatched || !this.monitor.isSuspected(slice.holder, now)) {
+      this.suspicions.delete(slice.slice);
+      return;
+    }
+    let suspicion = this.suspicions.get(slice.slice);
+    if (suspicion?.epoch !== slice.epoch) {
+      this.counts.suspicions++;
+      suspicion = {
+        epoch: slice.epoch,
+        since: now,
+        confirmedAt: null,
+        isProbing: false,
+        notBefore: now,
+        why: null,
+      };
+      this.suspicions.set(slice.slice, suspicion);
+      this.service.log.info(
+        { slice: slice.slice, holder: slice.holder, phi: this.monitor.phi(slice.holder, now) },
+        'holder suspected',
+      );
+    }
+    if (!suspicion.isProbing && now >= suspicion.notBefore) this.investigate(slice, suspicion, rank);
+  }
+
+  private investigate(slice: SliceFact, suspicion: Suspicion, rank: number): void {
+    const { clock, log } = this.service;
+    suspicion.isProbing = true;
+    this.tryTakeover(slice, suspicion, rank)
+      .catch((e: unknown) => {
+        log.error({ err: e, slice: slice.slice }, 'takeover');
+      })
+      .finally(() => {
+        suspicion.isProbing = false;
+        suspicion.notBefore = clock.now() + PROBE_AGAIN_MS;
+      });
+  }
+
+  private async tryTakeover(slice: SliceFact, suspicion: Suspicion, rank: number): Promise<void> {
+    const { clock, facts, log } = this.service;
+    const { holderAnswers, witnesses } = await this.probe(slice);
+    const witnessesNeeded = this.options.detection.witnesses;
+    const now = clock.now();
+    if (isConfirmed({ holderAnswers, witnesses, witnessesNeeded })) suspicion.confirmedAt ??= now;
+    else suspicion.confirmedAt = null;
+    // It may have been heard while the others were asked.
+    if (!this.monitor.isSuspected(slice.holder, now)) return;
+    const decision = decideTakeover({
+      isWarm: this.receiver.isWarm(slice),
+      applied: this.receiver.replicas.get(slice.slice)?.applied ?? 0,
+      holderAnswers,
+      witnesses,
+      witnessesNeeded,
+      rank,
+      confirmedForMs: suspicion.confirmedAt === null ? 0 : now - suspicion.confirmedAt,
+      rankDelayMs: this.options.takeover.rank_delay_ms,
+      backoffLeftMs: this.backoffOf(slice.slice).leftMs(now),
+      isStateReachable: facts.isStateReachable(STATE_FRESH_MS),
+    });
+    if (decision.kind === 'wait') {
+      if (suspicion.why !== decision.why) {
+        if (decision.why === 'holder_answers' || decision.why === 'holder_reached_by_another')
+          this.counts.refuted++;
+        log.info({ slice: slice.slice, holder: slice.holder, why: decision.why }, 'takeover waits');
+      }
+      suspicion.why = decision.why;
+      return;
+    }
+    await this.take(slice);
+  }
+
+  private async take(slice: SliceFact): Promise<void> {
+    const { clock, log, slices } = this.service;
+    // Counted before the outcome is known: a change without an answer may be applied yet.
+    this.backoffOf(slice.slice).note(clock.now());
+    const outcome = await slices.takeOver(slice);
+    log.info({ slice: slice.slice, from: slice.holder, outcome: outcome.kind }, 'takeover tried');
+  }
+
+  private async probe(slice: SliceFact): Promise<{ holderAnswers: boolean; witnesses: Witness[] }> {
+    const { channel } = this.service;
+    const { probe_ms } = this.options.detection;
+    const payload = encodeProbe({ holder: slice.holder, slice: slice.slice, epoch: slice.epoch });
+    const [holderAnswers, ...witnesses] = await Promise.all([
+      channel.isAnswering(slice.holder, probe_ms),
+      ...this.cluster.othersThan(slice.holder).map(async (node): Promise<Witness> => {
+        const reply = await channel.ask(node, TOPIC.probe, payload, probe_ms);
+        return { node, ...witnessFrom(reply) };
+      }),
+    ]);
+    return { holderAnswers, witnesses };
+  }
+
+  /** Slices that have come to this controller, whoever gave them. */
+  private noteSlices(): void {
+    const { facts, incarnation } = this.service;
+    for (const fact of facts.slices()) {
+      const before = this.known.get(fact.slice);
+      if (before?.epoch === fact.epoch) continue;
+      this.known.set(fact.slice, fact);
+      if (before !== undefined && fact.incarnation === incarnation && before.incarnation !== incarnation)
+        this.begin(fact, before);
+    }
+  }
+
+  /** The confirmed suspicion that led to the takeover, if one did. */
+  private suspicionOf(slice: NodeName, before: SliceFact): Suspicion | null {
+    const suspicion = this.suspicions.get(slice);
+    return suspicion?.epoch === before.epoch && suspicion.confirmedAt !== null ? suspicion : null;
+  }
+
+  /** This controller has the slice: what the replica knows is learned, and the phases are followed from here. */
+  private begin(fact: SliceFact, before: SliceFact): void {
+    const { clock, log } = this.service;
+    const { slice } = fact;
+    const replica = this.receiver.replicas.get(slice);
+    const memory = replica?.epoch === before.epoch ? replica.memory : null;
+    const takeover = this.describe(fact, before, memory);
+    for (const hint of memory?.hints(clock.wall()) ?? []) this.service.learn(hint);
+    this.publisher.continueWith(fact, memory?.entries() ?? []);
+    this.history.add(takeover);
+    const { from, cause, wasWarm } = takeover;
+    if (cause === 'suspicion') this.counts.taken++;
+    log.info({ slice, from, cause, epoch: fact.epoch, warm: wasWarm }, 'slice came here');
+    this.receiver.forget(slice);
+    this.suspicions.delete(slice);
+    this.prepared.delete(slice);
+  }
+
+  private describe(fact: SliceFact, before: SliceFact, memory: SliceMemory | null): Takeover {
+    const { clock, facts, tracer } = this.service;
+    const { slice } = fact;
+    const handoverTrace = this.prepared.get(slice);
+    const suspicion = handoverTrace === undefined ? this.suspicionOf(slice, before) : null;
+    const cause = handoverTrace !== undefined ? 'handover' : suspicion !== null ? 'suspicion' : 'assigned';
+    return {
+      slice,
+      from: before.holder,
+      fromIncarnation: before.incarnation,
+      sessionGone: false,
+      cause,
+      epoch: fact.epoch,
+      wasWarm: memory !== null && this.receiver.isWarm(before),
+      workersKnown: memory?.workerCount ?? 0,
+      endedTasks: memory?.endedTasks ?? 0,
+      machines: facts.machinesOf(slice).length,
+      wall: clock.wall(),
+      at: {
+        lastHeard: suspicion === null ? null : this.monitor.lastHeardAt(before.holder),
+        suspected: suspicion?.since ?? null,
+        confirmed: suspicion?.confirmedAt ?? null,
+        fenced: clock.now(),
+        view: null,
+        firstReport: null,
+        firstStart: null,
+        allReports: null,
+      },
+      traceParent: tracer.reserve(handoverTrace),
+      handoverTrace,
+      wasFalse: false,
+    };
+  }
+
+  /** A holder whose slice was taken on suspicion and that is back in the same life had not failed. */
+  private noteSessions(): void {
+    const { facts } = this.service;
+    const lives = new Set(facts.sessions().map((s) => s.incarnation));
+    for (const takeover of this.history.takeovers) {
+      if (takeover.cause !== 'suspicion' || takeover.wasFalse) continue;
+      if (!lives.has(takeover.fromIncarnation)) {
+        takeover.sessionGone = true;
+        continue;
+      }
+      if (!takeover.sessionGone) continue;
+      takeover.wasFalse = true;
+      this.counts.falseTakeovers++;
+    }
+  }
+}
+
+function witnessFrom(reply: Uint8Array | null): Pick<Witness, 'reaches' | 'applied'> {
+  if (reply === null) return { reaches: null, applied: null };
+  try {
+    return decodeProbeAnswer(reply);
+  } catch (e) {
+    if (e instanceof MessageError) return { reaches: null, applied: null };
+    throw e;
+  }
+}
--- /dev/null
+++ b/packages/warm-standby/test/standbys.ts
@@ -0,0 +1,82 @@
+/** Seeded runs with the package enabled: its options, scaled as everything else is there, and what tests ask of it. */
+import assert from 'node:assert/strict';
+import type { Settings } from '../../../src/config/settings.js';
+import { key } from '../../../src/core/keys.js';
+import type { LoadedPackage } from '../../../src/packages/api.js';
+import { configure } from '../../../src/packages/loader.js';
+import type { Node } from '../../../test/sim/node.js';
+import type { Sim } from '../../../test/sim/run.js';
+import { servicePackage } from '../src/index.js';
+
+/** A session lives for 2 s in these runs, so that detection has to be faster than that. */
+export const OPTIONS = {
+  replication: { heartbeat_ms: 100, answer_ms: 400, max_lag_ms: 1500 },
+  detection: { least_silence_ms: 400, probe_ms: 250 },
+  takeover: { rank_delay_ms: 300, backoff_ms: 3000, longest_backoff_ms: 20_000 },
+  handover: { drain_ms: 1500, hold_ms: 8000 },
+};
+
+/** The package for each controller of a run, with other options on top. */
+export const standby =
+  (over: object = {}) =>
+  (settings: Settings): LoadedPackage[] => [
+    configure('warm_standby', servicePackage, { ...OPTIONS, ...over }, settings),
+  ];
+
+/** What a controller shows of the package. */
+export interface Shown {
+  readonly slices: readonly {
+    readonly slice: string;
+    readonly active: string;
+    readonly role: 'holder' | 'standby' | 'none';
+    readonly standbys: readonly string[];
+    readonly warm?: boolean;
+    readonly lagEntries?: number | null;
+    readonly waitsFor?: string | null;
+    readonly followers?: readonly {
+      readonly standby: string;
+      readonly status: string;
+      readonly lagEntries: number;
+    }[];
+  }[];
+  readonly counts: {
+    readonly suspicions: number;
+    readonly refuted: number;
+    readonly taken: number;
+    readonly falseTakeovers: number;
+  };
+  readonly takeovers: readonly {
+    readonly slice: string;
+    readonly cause: string;
+    readonly warm: boolean;
+    readonly phasesMs: Readonly<Record<string, number>>;
+  }[];
+  readonly rejectedMessages: Readonly<Record<string, number>>;
+}
+
+export function shown(node: Node): Shown {
+  const { packages } = node.controller!;
+  const part = packages!.status()['warm_standby'] as Shown & { failed?: string };
+  assert.equal(part.failed, undefined);
+  return part;
+}
+
+/** The controller that holds a slice now, as the state service has it. */
+export const holderOf = (sim: Sim, slice: string) =>
+  (sim.state.rows.get(key.slice(slice))?.value as { holder: string } | undefined)?.holder;
+
+/** The slice's first standby, as its holder sees it. */
+export function standbyOf(sim: Sim, slice: string): Node {
+  const holder = sim.nodes.get(holderOf(sim, slice)!)!;
+  const name = shown(holder).slices.find((s) => s.slice === slice)?.standbys[0];
+  assert.ok(name !== undefined, `${slice} has a standby`);
+  return sim.nodes.get(name)!;
+}
+
+/** All takeovers that the controllers know of. */
+export const takeovers = (sim: Sim) =>
+  [...sim.nodes.values()].flatMap((n) => (n.controller === null ? [] : shown(n).takeovers));
+
+/** Counts over all controllers. */
+export const total = (sim: Sim, count: keyof Shown['counts']) =>
+  [...sim.nodes.values()].reduce((sum, n) => sum + (n.controller === null ? 0 : shown(n).counts[count]), 0);
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -2,47 +2,75 @@
 import { readFileSync, writeSync } from 'node:fs';
 import { Command, CommanderError } from 'commander';
 import pino from 'pino';
-import { readOperator, type Operator } from '../config/operator.js';
+import { readOperators, type Operator } from '../config/operator.js';
 import { SettingsError, readSettings, type Settings } from '../config/settings.js';
+import type { LoadedPackage } from '../packages/api.js';
+import { loadPackages } from '../packages/loader.js';
 
 const VERSION = '0.1.0';
 /** Exit codes: 0 done, 1 the service said no or could not be reached, 2 wrong usage or settings. */
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 
+/** How long a command waits for its answer. */
+const ANSWER_MS = 5000;
+
 const out = (text: string) => writeSync(1, `${text}\n`);
 const err = (text: string) => writeSync(2, `${text}\n`);
 
 interface Files {
   config: string;
-  operator?: string;
+  operator?: string[];
 }
 
-function load(files: Files): { settings: Settings; operator: Operator } {
-  const read = <T>(path: string, parse: (text: string) => T): T => {
-    try {
-      return parse(readFileSync(path, 'utf8'));
-    } catch (e) {
-      const why = e instanceof SettingsError ? e.message : (e as Error).message;
-      throw new SettingsError(`${path}: ${why}`);
-    }
-  };
-  const operatorPath = files.operator ?? process.env['PEPPERBANK_OPERATOR'];
-  return {
-    settings: read(files.config, readSettings),
-    operator: operatorPath === undefined ? readOperator('') : read(operatorPath, readOperator),
-  };
+interface Loaded {
+  readonly settings: Settings;
+  readonly operator: Operator;
+  readonly packages: readonly LoadedPackage[];
+}
+
+function readText(path: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`${path}: ${(e as Error).message}`);
+  }
+}
+
+function load(files: Files): Loaded {
+  const settings = inFile(files.config, () => readSettings(readText(files.config)));
+  const fromEnvironment = process.env['PEPPERBANK_OPERATOR'];
+  const paths = files.operator ?? (fromEnvironment === undefined ? [] : [fromEnvironment]);
+  const operatorFiles = paths.map((path) => ({ path, text: readText(path) }));
+  const operator = readOperators(operatorFiles);
+  if (Object.keys(operator.packages).length === 0) return { settings, operator, packages: [] };
+  // Where several files hold sections, the message names them all: the path in it says which section it is.
+  return inFile(paths.join(', '), () => ({
+    settings,
+    operator,
+    packages: loadPackages(operator.packages, settings),
+  }));
+}
+
+/** Puts the file's path before what is wrong with it. */
+function inFile<T>(path: string, read: () => T): T {
+  try {
+    return read();
+  } catch (e) {
+    if (!(e instanceof SettingsError)) throw e;
+    throw new SettingsError(e.message.startsWith(path) ? e.message : `${path}: ${e.message}`);
+  }
 }
 
 async function serve(files: Files): Promise<void> {
-  const { settings, operator } = load(files);
+  const { settings, operator, packages } = load(files);
   const level = process.env['LOG_LEVEL'] ?? 'info';
   const log = pino(
     { level: ['error', 'info', 'debug'].includes(level) ? level : 'info', base: { node: settings.node } },
     pino.destination({ fd: 2, sync: true }),
   );
   const controller = await import('../controller/controller.js');
-  await controller.serve(settings, operator, log);
+  await controller.serve(settings, operator, log, packages);
 }
 
 /** Asks a controller and prints its answer; the exit code says how it went. */
@@ -51,12 +79,12 @@
   method: 'GET' | 'POST',
   path: string,
   body?: unknown,
-  indent?: number,
+  { indent, timeoutMs = ANSWER_MS }: { indent?: number; timeoutMs?: number } = {},
 ): Promise<void> {
   const { HttpClient } = await import('../io/http.js');
   const client = new HttpClient(address.replace(/^http:\/\//, '').replace(/\/$/, ''), 1);
   try {
-    const r = await client.request(method, path, body, 5000);
+    const r = await client.request(method, path, body, timeoutMs);
     out(JSON.stringify(r.body, null, indent));
     if (r.status >= 300) {
       err(`${address}: ${r.status}`);
@@ -70,55 +98,95 @@
   }
 }
 
-/** Runs the command line; the exit code is left in `process.exitCode`. */
-export async function run(argv: readonly string[]): Promise<void> {
-  const program = new Command('pepperbank');
-  program.description('A cluster scheduler').version(VERSION).exitOverride();
-  const files = (c: Command) =>
-    c
-      .requiredOption('--config <path>', "the platform's settings (TOML)")
-      .option('--operator <path>', "the operators' own settings (TOML); also PEPPERBANK_OPERATOR");
-  files(program.command('serve', { isDefault: true }).description('run a controller (the default)')).action(
-    serve,
-  );
-  files(program.command('check-config').description('check the settings and end')).action((f: Files) => {
-    const { settings } = load(f);
-    out(`ok: ${settings.node}, ${settings.teams.length} teams, ${settings.nodes} controllers`);
+const withFiles = (c: Command) =>
+  c
+    .requiredOption('--config <path>', "the platform's settings (TOML)")
+    .option(
+      '--operator <path>',
+      "the operators' own settings (TOML), several times where they are in several files; also PEPPERBANK_OPERATOR",
+      (path: string, before: string[] | undefined) => [...(before ?? []), path],
+    );
+
+const withAddress = (c: Command) =>
+  c.requiredOption('--address <host:port>', "a controller's address", '127.0.0.1:8080');
+
+interface AddressOption {
+  readonly address: string;
+}
+
+/** Commands that run or check a controller. */
+function addControllerCommands(program: Command): void {
+  withFiles(
+    program.command('serve', { isDefault: true }).description('run a controller (the default)'),
+  ).action(serve);
+  withFiles(program.command('check-config').description('check the settings and end')).action((f: Files) => {
+    const { settings, packages } = load(f);
+    const enabled = packages.length === 0 ? '' : `, packages: ${packages.map((p) => p.name).join(', ')}`;
+    out(`ok: ${settings.node}, ${settings.teams.length} teams, ${settings.nodes} controllers${enabled}`);
   });
-  const address = (c: Command) =>
-    c.requiredOption('--address <host:port>', "a controller's address", '127.0.0.1:8080');
-  address(program.command('submit').description('submit the job in a JSON file').argument('<file>')).action(
-    async (file: string, o: { address: string }) => {
-      let body: unknown;
-      try {
-        body = JSON.parse(readFileSync(file, 'utf8'));
-      } catch (e) {
-        throw new SettingsError(`${file}: ${(e as Error).message}`);
-      }
-      const { paths } = await import('../io/wire.js');
-      await ask(o.address, 'POST', paths.jobs, body);
-    },
-  );
-  address(program.command('show').description("show a job's state").argument('<id>')).action(
-    async (id: string, o: { address: string }) => {
+}
+
+/** Users' commands. */
+function addJobCommands(program: Command): void {
+  withAddress(
+    program.command('submit').description('submit the job in a JSON file').argument('<file>'),
+  ).action(async (file: string, o: AddressOption) => {
+    let body: unknown;
+    try {
+      body = JSON.parse(readFileSync(file, 'utf8'));
+    } catch (e) {
+      throw new SettingsError(`${file}: ${(e as Error).message}`);
+    }
+    const { paths } = await import('../io/wire.js');
+    await ask(o.address, 'POST', paths.jobs, body);
+  });
+  withAddress(program.command('show').description("show a job's state").argument('<id>')).action(
+    async (id: string, o: AddressOption) => {
       const { paths } = await import('../io/wire.js');
       await ask(o.address, 'GET', paths.job.replace(':id', encodeURIComponent(id)));
     },
   );
-  address(program.command('cancel').description('cancel a job').argument('<id>')).action(
-    async (id: string, o: { address: string }) => {
+  withAddress(program.command('cancel').description('cancel a job').argument('<id>')).action(
+    async (id: string, o: AddressOption) => {
       const { paths } = await import('../io/wire.js');
       await ask(o.address, 'POST', paths.cancel.replace(':id', encodeURIComponent(id)));
     },
   );
-  address(
+}
+
+/** A handover waits for logs to be drained and for the state service. */
+const HANDOVER_MS = 30_000;
+
+/** Operators' commands. */
+function addOperatorCommands(program: Command): void {
+  withAddress(
     program
       .command('status')
       .description('show teams, slices, machines and why jobs wait, as a controller sees them'),
-  ).action(async (o: { address: string }) => {
+  ).action(async (o: AddressOption) => {
+    const { paths } = await import('../io/wire.js');
+    await ask(o.address, 'GET', paths.status, undefined, { indent: 2 });
+  });
+  withAddress(
+    program
+      .command('handover')
+      .description('move what a controller holds to its warm standbys, before it is restarted')
+      .option('--to <node>', 'to this controller only'),
+  ).action(async (o: AddressOption & { to?: string }) => {
     const { paths } = await import('../io/wire.js');
-    await ask(o.address, 'GET', paths.status, undefined, 2);
+    const path = paths.packageCommand.replace(':name', 'warm_standby').replace(':command', 'handover');
+    const body = o.to === undefined ? {} : { to: o.to };
+    await ask(o.address, 'POST', path, body, { indent: 2, timeoutMs: HANDOVER_MS });
   });
+}
+
+/** Runs the command line; the exit code is left in `process.exitCode`. */
+export async function run(argv: readonly string[]): Promise<void> {
+  const program = new Command('pepperbank');
+  program.description('A cluster scheduler').version(VERSION).exitOverride();
+  addControllerCommands(program);
+  addJobCommands(program);
+  addOperatorCommands(program);
   try {
     await program.parseAsync([...argv]);
   } catch (e) {
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -70,6 +70,8 @@
       },
       section,
     ),
+    /** Sections of packages by name; each package checks its own. */
+    packages: Type.Record(Type.String(), Type.Object({}, { additionalProperties: true }), { default: {} }),
     users: Type.Object(
       {
         /** Bounds of the limit on users' requests in progress. */
@@ -86,8 +88,45 @@
 
 /** Reads the text of an operators' settings file. Throws `SettingsError`. */
 export function readOperator(text: string): Operator {
-  const raw = parseToml(text);
-  const wrong = check(OperatorSchema, raw);
+  return readOperators([{ path: 'the file', text }]);
+}
+
+/** A file of operators' settings. */
+export interface OperatorFile {
+  readonly path: string;
+  readonly text: string;
+}
+
+type Table = Record<string, unknown>;
+const isTable = (value: unknown): value is Table =>
+  typeof value === 'object' && value !== null && Object.getPrototypeOf(value) === Object.prototype;
+
+/** Adds the settings of one file to those before it. The path of a setting that is there already, or null. */
+function merge(into: Table, from: Table, path: string): string | null {
+  for (const [name, value] of Object.entries(from)) {
+    const known = into[name];
+    const here = path === '' ? name : `${path}.${name}`;
+    if (known === undefined) into[name] = value;
+    else if (!isTable(known) || !isTable(value)) return here;
+    else {
+      const twice = merge(known, value, here);
+      if (twice !== null) return twice;
+    }
+  }
+  return null;
+}
+
+/** Reads several files as one; a setting may stand in one of them only. Throws `SettingsError` with file and path. */
+export function readOperators(files: readonly OperatorFile[]): Operator {
+  const all: Table = {};
+  for (const { path, text } of files) {
+    const raw = parseToml(text, path);
+    const wrong = check(OperatorSchema, structuredClone(raw));
+    if (wrong !== null) throw new SettingsError(`${path}: ${wrong}`);
+    const twice = merge(all, raw as Table, '');
+    if (twice !== null) throw new SettingsError(`${path}: ${twice}: another file sets it, too`);
+  }
+  const wrong = check(OperatorSchema, all);
   if (wrong !== null) throw new SettingsError(wrong);
-  return raw as Operator;
+  return all as Operator;
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -84,11 +84,12 @@
 }
 
 /** Parses TOML. Throws `SettingsError`. */
-export function parseToml(textOfFile: string): unknown {
+export function parseToml(textOfFile: string, path?: string): unknown {
   try {
     return parse(textOfFile);
   } catch (e) {
-    throw new SettingsError(`not TOML: ${(e as Error).message.split('\n')[0] ?? ''}`);
+    const file = path === undefined ? '' : `${path}: `;
+    throw new SettingsError(`${file}not TOML: ${(e as Error).message.split('\n')[0] ?? ''}`);
   }
 }
 
--- a/src/controller/context.ts
+++ b/src/controller/context.ts
@@ -4,6 +4,7 @@
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../core/clock.js';
 import type { OrderContext } from '../core/job-order.js';
+import { EventBus } from '../core/events.js';
 import { Ledger } from '../core/ledger.js';
 import { key } from '../core/keys.js';
 import { bytesOf, storedJob, type StoredJob } from '../core/records.js';
@@ -49,6 +50,8 @@
   readonly sessionSince = new Map<string, Steady>();
   /** Told of changes after the view has taken them in. */
   readonly listeners: ((changes: Changes) => void)[] = [];
+  /** What this controller does and learns, for packages. */
+  readonly events = new EventBus();
   private ledgerNow: Ledger | null = null;
   private ledgerTypes: ReadonlyMap<TypeName, MachineType> | null = null;
   private typesFrom: readonly MachineType[] | null = null;
@@ -82,6 +85,10 @@
       (ops, answer) => {
         log.error({ keys: ops.map((o) => o.key), answer }, 'transaction rejected');
       },
+      (ops, outcome, since) => {
+        if (this.events.isActive)
+          this.events.emit({ kind: 'transaction', keys: ops.map((o) => o.key), outcome, since });
+      },
     );
     this.finalStates = new FinalStates(this.state);
     this.dependencies = new DependencyTracker(this, this.finalStates);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -20,6 +20,11 @@
 import { ReportRouter } from './report-router.js';
 import { Availability } from './availability.js';
 import { status } from './status.js';
+import { SliceTransfer } from './slice-transfer.js';
+import type { LoadedPackage, Service } from '../packages/api.js';
+import { TopicChannel } from '../packages/channel.js';
+import { ViewFacts } from '../packages/facts.js';
+import { PackageHost, TracerSwitch } from '../packages/host.js';
 
 /** The world outside, as one controller reaches it. */
 export interface Outside {
@@ -33,6 +38,8 @@
   readonly cloud: Transport;
   readonly workers: Workers;
   readonly peers: ReadonlyMap<string, Peer>;
+  /** Links for packages, apart from the others: what is slow there delays nothing else. */
+  readonly packageLinks?: ReadonlyMap<string, Peer>;
 }
 
 /** One controller: all its loops, with the outside passed in. */
@@ -45,8 +52,17 @@
   readonly reports: ReportRouter;
 
   readonly availability: Availability;
+  readonly channel: TopicChannel;
+  /** Null where no package is enabled. */
+  readonly packages: PackageHost | null;
 
-  constructor(settings: Settings, operator: Operator, log: Logger, outside: Outside) {
+  constructor(
+    settings: Settings,
+    operator: Operator,
+    log: Logger,
+    outside: Outside,
+    packages: readonly LoadedPackage[] = [],
+  ) {
     const ctx = new Context(
       settings,
       operator,
@@ -68,6 +84,31 @@
     );
     this.jobs = new Jobs(ctx, this.owner, outside.peers);
     this.reports = new ReportRouter(ctx, this.owner, this.leader, health, this.membership, this.availability);
+    this.channel = new TopicChannel(outside.packageLinks ?? new Map());
+    const tracer = new TracerSwitch();
+    const service = (packageLog: Logger): Service => ({
+      node: settings.node,
+      incarnation: ctx.incarnation,
+      settings,
+      peers: settings.peers,
+      clock: ctx.clock,
+      random: outside.random,
+      log: packageLog,
+      facts: new ViewFacts(ctx),
+      slices: new SliceTransfer(ctx, this.membership),
+      channel: this.channel,
+      learn: (hint) => {
+        health.learn(hint);
+      },
+      onEvent: (listener) => {
+        ctx.events.subscribe(listener);
+      },
+      tracer,
+      provideTracer: (target) => {
+        tracer.provide(target);
+      },
+    });
+    this.packages = packages.length === 0 ? null : new PackageHost(packages, service, log);
   }
 
   private async logUsage(): Promise<never> {
@@ -86,6 +127,7 @@
       this.leader.run(),
       this.reports.run(),
       this.availability.run(),
+      ...(this.packages === null ? [] : [this.packages.run()]),
       this.logUsage(),
     ]);
   }
@@ -99,10 +141,22 @@
   return [address.slice(0, at), Number(address.slice(at + 1))];
 };
 
+/** Connections for packages come from the address at which the others know this controller, where it has one. */
+function packageLinks(settings: Settings): ReadonlyMap<string, Peer> {
+  const [host] = split(settings.peerBind);
+  const localAddress = host === '0.0.0.0' ? undefined : host;
+  return new Map(settings.peers.map((p) => [p.node as string, new PeerLink(p.address, localAddress)]));
+}
+
 /** Starts a controller on real sockets and clocks; returns only when it fails. */
-export async function serve(settings: Settings, operator: Operator, log: Logger): Promise<void> {
+export async function serve(
+  settings: Settings,
+  operator: Operator,
+  log: Logger,
+  packages: readonly LoadedPackage[] = [],
+): Promise<void> {
   const sockets = settings.limits.max_connections;
-  const controller = new Controller(settings, operator, log, {
+  const outside: Outside = {
     clock: realClock,
     identity: randomBytes(6).toString('hex'),
     random: Math.random,
@@ -111,11 +165,14 @@
     cloud: new HttpClient(settings.cloud, 4),
     workers: new WorkerClient(Math.max(8, Math.floor(sockets / 20))),
     peers: new Map(settings.peers.map((p) => [p.node as string, new PeerLink(p.address)])),
-  });
+    ...(packages.length === 0 ? {} : { packageLinks: packageLinks(settings) }),
+  };
+  const controller = new Controller(settings, operator, log, outside, packages);
   const peerServer = new PeerServer(
     (job) => Promise.resolve(controller.jobs.takeCancel(jobId(job))),
     () => controller.ctx.state.reachable(1500),
     Math.max(8, settings.nodes * 4),
+    (topic, payload, from) => controller.channel.answer(topic, payload, from),
   );
   await peerServer.listen(...split(settings.peerBind));
   const server = buildServer({
@@ -123,10 +180,14 @@
     jobs: controller.jobs,
     reports: controller.reports,
     healthy: () => controller.availability.healthy,
-    status: () => status(controller.ctx, controller.owner, controller.availability.healthy),
+    status: () => ({
+      ...status(controller.ctx, controller.owner, controller.availability.healthy),
+      ...(controller.packages === null ? {} : { packages: controller.packages.status() }),
+    }),
     maxConnections: Math.floor(sockets * 0.85),
     leastInProgress: operator.users.least_in_progress,
     mostInProgress: operator.users.most_in_progress,
+    ...(controller.packages === null ? {} : { packages: controller.packages }),
   });
   const [host, port] = split(settings.bind);
   await server.listen({ host, port });
--- a/src/controller/health.ts
+++ b/src/controller/health.ts
@@ -1,18 +1,20 @@
 /** What reports teach about machines and jobs, kept in memory only: losing it costs time, never a rule. */
-import type {
-  ExitWhy,
-  JobId,
-  JobRecord,
-  MachineName,
-  MachineRecord,
-  Placed,
-  Report,
-  Steady,
+import {
+  steady,
+  type ExitWhy,
+  type JobId,
+  type JobRecord,
+  type MachineName,
+  type MachineRecord,
+  type Placed,
+  type Report,
+  type Steady,
 } from '../core/types.js';
 import { Failures, RUNS_WELL_MS } from '../core/failures.js';
+import type { Hint } from '../packages/api.js';
 import { bytesOf } from '../core/records.js';
-import { Slowness } from '../core/slowness.js';
-import { taskKey } from '../core/worker-reports.js';
+import { Slowness, type Run } from '../core/slowness.js';
+import { newer, taskKey } from '../core/worker-reports.js';
 import type { Context } from './context.js';
 
 /** So many reports, and pauses between a job and a machine, are remembered at least; for larger fleets more. */
@@ -22,6 +24,13 @@
 const PAUSE_AFTER_ERROR_MS = 60_000;
 const PAUSE_AFTER_REFUSAL_MS = 3000;
 
+/** Forgets the entry that was added first where there are more than so many. */
+function dropOldest<K>(map: Map<K, unknown>, most: number): void {
+  if (map.size <= most) return;
+  const oldest = map.keys().next().value;
+  if (oldest !== undefined) map.delete(oldest);
+}
+
 /** Remembers failures, caches and run times of machines and jobs. */
 export class Health {
   readonly failures: Failures;
@@ -68,7 +77,7 @@
       const spec = this.ctx.view.jobs.get(task.job)?.spec;
       // A gang runs only as fast as its slowest machine, so its time says nothing about this one.
       if (task.why === 'done' && since !== undefined && spec?.kind === 'array')
-        this.slowness.ran(r.machine, {
+        this.ran(r.machine, {
           job: task.job,
           cls: spec.class,
           tookS: (t - since) / 1000,
@@ -78,20 +87,59 @@
     this.runningAt.set(r.machine, now);
   }
 
-  /** The newest report that any process of this node got, for the worker's address and session. */
-  saw(r: Report): void {
+  private ran(machine: MachineName, run: Run): void {
+    const { events } = this.ctx;
+    this.slowness.ran(machine, run);
+    if (events.isActive) events.emit({ kind: 'task_ran', machine, run });
+  }
+
+  /** Takes in what another controller has learned; nothing that is known here is replaced by anything older. */
+  learn(hint: Hint): void {
+    const { view, types, clock } = this.ctx;
+    switch (hint.kind) {
+      case 'worker': {
+        const machine = view.machines.get(hint.machine);
+        if (machine === undefined || !types.has(machine.type)) return;
+        const { type, zone, spot } = machine;
+        const { address, session, seq, token } = hint;
+        this.remember({
+          machine: hint.machine,
+          address,
+          type,
+          zone,
+          spot,
+          session,
+          seq,
+          token,
+          noticeS: null,
+          tasks: [],
+        });
+        return;
+      }
+      case 'job_failing': {
+        if (!view.jobs.has(hint.job)) return;
+        const until = steady(clock.now() + hint.retryInMs);
+        this.failures.adopt(hint.job, { ...hint, machines: new Set(hint.machines), until });
+        return;
+      }
+      case 'task_ran':
+        if (view.machines.has(hint.machine)) this.slowness.ran(hint.machine, hint.run);
+    }
+  }
+
+  /** Keeps the report if it is the newest of its worker. */
+  private remember(r: Report): boolean {
     const known = this.reports.get(r.machine);
-    if (
-      known !== undefined &&
-      (known.session > r.session || (known.session === r.session && known.seq > r.seq))
-    )
-      return;
+    if (known !== undefined && newer(known, r)) return false;
     this.reports.delete(r.machine);
     this.reports.set(r.machine, r);
-    if (this.reports.size > Math.max(REPORTS_KEPT, 2 * this.ctx.view.machines.size)) {
-      const oldest = this.reports.keys().next().value;
-      if (oldest !== undefined) this.reports.delete(oldest);
-    }
+    dropOldest(this.reports, Math.max(REPORTS_KEPT, 2 * this.ctx.view.machines.size));
+    return true;
+  }
+
+  /** The newest report that any process of this node got, for the worker's address and session. */
+  saw(r: Report): void {
+    if (!this.remember(r)) return;
     this.sawRunning(r);
     for (const t of r.tasks) {
       if (t.state === 'fetching' || (t.state === 'exited' && t.why !== 'done')) continue;
@@ -145,15 +193,16 @@
     if (why !== 'error' && why !== 'unknown') return;
     const known = this.ctx.view.jobs.get(job)?.failing;
     this.failures.failed(job, m.name, why, this.ctx.clock.now(), known?.rounds);
+    const failures = this.failures.failuresOf(job);
+    const { events } = this.ctx;
+    if (events.isActive && failures !== null) events.emit({ kind: 'job_failing', job, failures });
   }
 
   private pause(job: JobId, machine: MachineName, ms: number): void {
     const key = `${job} ${machine}`;
     this.pauses.delete(key);
     this.pauses.set(key, (this.ctx.clock.now() + ms) as Steady);
-    if (this.pauses.size <= Math.max(PAUSES_KEPT, 2 * this.ctx.view.machines.size)) return;
-    const oldest = this.pauses.keys().next().value;
-    if (oldest !== undefined) this.pauses.delete(oldest);
+    dropOldest(this.pauses, Math.max(PAUSES_KEPT, 2 * this.ctx.view.machines.size));
   }
 
   avoids(job: JobId, machine: MachineName): boolean {
--- a/src/controller/jobs.ts
+++ b/src/controller/jobs.ts
@@ -102,11 +102,13 @@
   private async accept(spec: JobSpec, op: Op, state: JobState): Promise<Submitted> {
     const { ctx } = this;
     const { id, team, kind, tasks } = spec;
+    const since = ctx.clock.now();
     const guards = [key.job(id), key.final(id)].map((k) => ({ key: k, version: NO_VERSION }));
     const result = await this.submissions.commit(id, { guards, ops: [op] });
     if (result.kind === 'ok') {
       ctx.follower.applied([op], result.rev);
       ctx.log.info({ job: id, team, kind, tasks, class: spec.class }, 'accepted');
+      if (ctx.events.isActive) ctx.events.emit({ kind: 'job_accepted', job: id, team, since });
       return { kind: 'accepted', state };
     }
     if (result.kind === 'conflict') {
--- a/src/controller/leader/leader.ts
+++ b/src/controller/leader/leader.ts
@@ -114,12 +114,12 @@
     const { ctx } = this;
     const now = ctx.clock.now();
     const live: LiveNode[] = [];
-    for (const { node, incarnation } of ctx.view.sessions.values())
+    for (const { node, incarnation, draining } of ctx.view.sessions.values())
       live.push({
         node,
         incarnation,
         ageS: (now - (ctx.sessionSince.get(node) ?? now)) / 1000,
-        fit: this.strayed.isFit(node),
+        fit: this.strayed.isFit(node) && draining !== true,
       });
     return live.sort((a, b) => (a.node < b.node ? -1 : 1));
   }
--- a/src/controller/membership.ts
+++ b/src/controller/membership.ts
@@ -16,6 +16,8 @@
   /** Until then the lease has surely not run out: counted from when the renewal was sent. */
   private validUntil = Number.NEGATIVE_INFINITY;
   private readonly notification: Notification;
+  /** Until then this process takes on nothing: it has handed over what it held. */
+  private drainingUntil = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly ctx: Context) {
     this.notification = new Notification(ctx.clock);
@@ -42,6 +44,21 @@
     return this.valid && l?.incarnation === this.ctx.incarnation && l.lease === this.lease;
   }
 
+  /** This process takes on neither slices nor the leadership for so long; 0 ends that. */
+  drainFor(ms: number): void {
+    this.drainingUntil = this.ctx.clock.now() + ms;
+  }
+
+  private get isDraining(): boolean {
+    return this.ctx.clock.now() < this.drainingUntil;
+  }
+
+  /** Leads if nobody else could. */
+  private get mayLead(): boolean {
+    const others = [...this.ctx.view.sessions.values()].filter((s) => s.node !== this.ctx.settings.node);
+    return !this.isDraining || !others.some((s) => s.draining !== true);
+  }
+
   private get mine(): SessionRecord | undefined {
     return this.ctx.view.sessions.get(this.ctx.settings.node);
   }
@@ -74,23 +91,9 @@
       this.lease = await ctx.state.grant(ttl);
       this.validUntil = sent + ttl * DRIFT;
     }
-    const mine = this.mine;
-    if (mine?.lease !== this.lease || mine.incarnation !== ctx.incarnation) {
-      // A session under this node's name that is not this process's is its predecessor's: the platform runs
-      // one process per node, so it can be ended without waiting for its lease.
-      if (mine !== undefined) await ctx.state.revoke(mine.lease);
-      await ctx.follower.fresh();
-      const k = key.session(ctx.settings.node);
-      const value: SessionRecord = {
-        node: ctx.settings.node,
-        incarnation: ctx.incarnation,
-        lease: this.lease,
-        zone: ctx.settings.zone,
-      };
-      await this.put(k, value);
-    }
+    await this.writeSession(this.lease);
     await this.takeOwnSlice();
-    if (ctx.view.leader === null) {
+    if (ctx.view.leader === null && this.mayLead) {
       const value: LeaderRecord = {
         node: ctx.settings.node,
         incarnation: ctx.incarnation,
@@ -100,6 +103,25 @@
     }
   }
 
+  private async writeSession(lease: number): Promise<void> {
+    const { ctx } = this;
+    const mine = this.mine;
+    const isOwn = mine?.lease === lease && mine.incarnation === ctx.incarnation;
+    if (isOwn && (mine.draining === true) === this.isDraining) return;
+    // A session under this node's name that is not this process's is its predecessor's: the platform runs
+    // one process per node, so it can be ended without waiting for its lease.
+    if (!isOwn && mine !== undefined) await ctx.state.revoke(mine.lease);
+    await ctx.follower.fresh();
+    const value: SessionRecord = {
+      node: ctx.settings.node,
+      incarnation: ctx.incarnation,
+      lease,
+      zone: ctx.settings.zone,
+      ...(this.isDraining ? { draining: true } : {}),
+    };
+    await this.put(key.session(ctx.settings.node), value);
+  }
+
   /** The slice of this node, where nobody holds it or its predecessor did, is taken at once. */
   private async takeOwnSlice(): Promise<void> {
     const { ctx } = this;
--- a/src/controller/owner/machine-reconciler.ts
+++ b/src/controller/owner/machine-reconciler.ts
@@ -75,6 +75,9 @@
     memory.left.set(k, { at: ctx.clock.now(), why });
     this.taskLeft();
     this.health.exit(machine, placed, why);
+    const { job, attempt } = placed;
+    if (ctx.events.isActive)
+      ctx.events.emit({ kind: 'task_left', task: { job, index, attempt, machine: machine.name }, why });
     ctx.log.info(
       {
         task: ctx.task(placed.job, index),
--- a/src/controller/owner/machine-sessions.ts
+++ b/src/controller/owner/machine-sessions.ts
@@ -93,18 +93,24 @@
     const now = ctx.clock.now();
     // Overtaken by the answer to a direct command, or late: the worker is kept, and told nothing.
     if (!takeReport(memory, report, now, true, this.reportMs)) return { kind: 'ok', token, commands: [] };
+    if (ctx.events.isActive) ctx.events.emit({ kind: 'worker_heard', report, isFirst: first });
     const wanted = this.wanted();
     const tells = first || machine.phase === 'booting' || report.noticeS !== null;
     if (tells || exits(machine, memory, wanted).length > 0) this.learned(machine.name, first);
     const answer = commands(machine, memory, wanted, now, machine.phase !== 'releasing');
-    for (const c of answer)
-      ctx.log.debug(
-        { op: c.op, task: ctx.task(c.job, c.index), attempt: c.attempt, machine: machine.name, token },
-        'command',
-      );
+    this.noteCommands(machine.name, token, answer);
     return { kind: 'ok', token, commands: answer };
   }
 
+  private noteCommands(machine: MachineName, token: Token, sent: readonly Command[]): void {
+    const { ctx } = this;
+    for (const command of sent) {
+      const { op, job, index, attempt } = command;
+      ctx.log.debug({ op, task: ctx.task(job, index), attempt, machine, token }, 'command');
+      if (ctx.events.isActive) ctx.events.emit({ kind: 'command_sent', machine, command });
+    }
+  }
+
   /** Direct messages: fencing tokens for machines that have not shown theirs, stops that cannot wait. */
   sendDirect(names: readonly MachineName[]): void {
     const wanted = this.wanted();
@@ -129,6 +135,7 @@
       if (stops.length === 0) return;
     } else if (report !== null && report.token > memory.token) return;
     this.messaged.add(name);
+    this.noteCommands(name, memory.token, stops);
     // Without any report the session is a guess: the refusal brings the report, and the next try has it.
     const session = report?.session ?? FIRST_SESSION;
     void this.workers.direct(address, memory.token, session, stops).then((answer) => {
@@ -143,8 +150,11 @@
     const machine = ctx.view.machines.get(answer.machine);
     if (machine === undefined || !ctx.isMine(machine)) return;
     if (answer.token > ctx.view.tokenOf(machine)) return;
-    if (takeReport(this.of(machine), answer, ctx.clock.now(), false, this.reportMs))
-      this.learned(machine.name, false);
+    const memory = this.of(machine);
+    const isFirst = memory.report === null;
+    if (!takeReport(memory, answer, ctx.clock.now(), false, this.reportMs)) return;
+    if (ctx.events.isActive) ctx.events.emit({ kind: 'worker_heard', report: answer, isFirst });
+    this.learned(machine.name, false);
   }
 
   private stopSentOfLate(machine: MachineName, stop: Command): boolean {
--- a/src/controller/owner/preemptor.ts
+++ b/src/controller/owner/preemptor.ts
@@ -120,7 +120,14 @@
     const { ctx } = this;
     this.claim(job, machine);
     const entitled = this.isEntitled(job);
-    for (const v of victims)
+    for (const v of victims) {
+      if (ctx.events.isActive)
+        for (const index of v.tasks)
+          ctx.events.emit({
+            kind: 'task_preempted',
+            task: { job: v.job, index, attempt: v.attempt, machine: machine.name },
+            inFavourOf: job.spec.id,
+          });
       ctx.log.info(
         {
           job: v.job,
@@ -132,6 +139,7 @@
         },
         'preempt',
       );
+    }
     const value: MachineRecord = { ...machine, placed: stopped(machine.placed, victims) };
     const k = key.machine(machine.name);
     return {
--- a/src/controller/owner/starts.ts
+++ b/src/controller/owner/starts.ts
@@ -227,10 +227,13 @@
 
   private logPlacement(p: Placement, full: number): void {
     const { ctx } = this;
+    const { id, team } = p.job;
+    const task = { job: id, index: p.index, attempt: attempt(full), machine: p.machine.name };
+    if (ctx.events.isActive) ctx.events.emit({ kind: 'task_placed', task, team });
     ctx.log.info(
       {
-        task: ctx.task(p.job.id, p.index),
-        team: p.job.team,
+        task: ctx.task(id, p.index),
+        team,
         attempt: full,
         machine: p.machine.name,
         token: ctx.view.tokenOf(p.machine),
--- /dev/null
+++ b/src/core/events.ts
@@ -0,0 +1,69 @@
+/**
+ * What a controller tells of its work while it does it, for packages that follow, trace or count it. Nobody has to listen:
+ * without a listener an event is not even made.
+ */
+import type { JobFailures } from './failures.js';
+import type { Run } from './slowness.js';
+import type {
+  Attempt,
+  Command,
+  ExitWhy,
+  JobId,
+  MachineName,
+  Report,
+  Steady,
+  TaskIndex,
+  TeamName,
+} from './types.js';
+
+/** One start of a task on a machine. */
+export interface TaskOnMachine {
+  readonly job: JobId;
+  readonly index: TaskIndex;
+  readonly attempt: Attempt;
+  readonly machine: MachineName;
+}
+
+/** How a transaction ended, as far as its sender knows. */
+export type TransactionOutcome = 'ok' | 'conflict' | 'refused' | 'unknown' | 'other';
+
+/** Something that a controller did or learned. */
+export type ServiceEvent =
+  | { readonly kind: 'job_accepted'; readonly job: JobId; readonly team: TeamName; readonly since: Steady }
+  /** Decided, and not yet committed. */
+  | { readonly kind: 'task_placed'; readonly task: TaskOnMachine; readonly team: TeamName }
+  /** Decided, and not yet committed. */
+  | { readonly kind: 'task_preempted'; readonly task: TaskOnMachine; readonly inFavourOf: JobId }
+  | { readonly kind: 'command_sent'; readonly machine: MachineName; readonly command: Command }
+  /** A report, or the answer to a direct message, was taken in under the machine's present token. */
+  | { readonly kind: 'worker_heard'; readonly report: Report; readonly isFirst: boolean }
+  | { readonly kind: 'task_left'; readonly task: TaskOnMachine; readonly why: ExitWhy | null }
+  | { readonly kind: 'task_ran'; readonly machine: MachineName; readonly run: Run }
+  | { readonly kind: 'job_failing'; readonly job: JobId; readonly failures: JobFailures }
+  | {
+      readonly kind: 'transaction';
+      readonly keys: readonly string[];
+      readonly outcome: TransactionOutcome;
+      readonly since: Steady;
+    };
+
+/** Takes in events; must neither throw nor wait. */
+export type EventListener = (event: ServiceEvent) => void;
+
+/** Hands events to those who listen. */
+export class EventBus {
+  private readonly listeners: EventListener[] = [];
+
+  /** Whether anybody listens: whoever makes events asks first. */
+  get isActive(): boolean {
+    return this.listeners.length > 0;
+  }
+
+  subscribe(listener: EventListener): void {
+    this.listeners.push(listener);
+  }
+
+  emit(event: ServiceEvent): void {
+    for (const listener of this.listeners) listener(event);
+  }
+}
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -73,6 +73,16 @@
     state.until = (now + wait * (1 - JITTER + 2 * JITTER * this.random())) as Steady;
   }
 
+  /** Takes over what another controller has learned of a job, unless more is known here. */
+  adopt(job: JobId, known: JobFailures): void {
+    const state = this.stateOf(job);
+    if (state.rounds >= known.rounds) return;
+    state.rounds = known.rounds;
+    state.why = known.why;
+    state.until = known.until;
+    for (const machine of known.machines) state.machines.add(machine);
+  }
+
   /** A task was done: the job is sound, and so is the machine. */
   done(job: JobId, machine: MachineName): void {
     const state = this.jobs.get(job);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -287,6 +287,8 @@
   readonly incarnation: Incarnation;
   readonly lease: number;
   readonly zone: Zone;
+  /** It has handed over what it held and is about to end: it is given nothing. */
+  readonly draining?: boolean;
 }
 
 /** The leadership; it goes with its lease. */
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -14,6 +14,8 @@
         cancel: { type: 'string', id: 3 },
         outcome: { type: 'string', id: 4 },
         contact: { type: 'bool', id: 5 },
+        topic: { type: 'string', id: 6 },
+        payload: { type: 'bytes', id: 7 },
       },
     },
   },
@@ -26,10 +28,15 @@
   outcome: string;
   /** Asks for, or tells of, contact to the state service. */
   contact: boolean;
+  /** What a package asks that of another controller, and the answer; empty: none. */
+  topic: string;
+  payload: Uint8Array;
 }
+/** What versions without topics have always sent; a field that is left out has its default at the other end. */
+const EMPTY = { answer: false, cancel: '', outcome: '', contact: false };
 const MOST = 64 * 1024;
 
-function encode(f: Frame): Buffer {
+function encode(f: Partial<Frame>): Buffer {
   const body = FrameType.encode(FrameType.create(f)).finish();
   const out = Buffer.allocUnsafe(4 + body.length);
   out.writeUInt32BE(body.length, 0);
@@ -55,6 +62,9 @@
 /** Takes a cancellation from another controller and says what became of it. */
 export type CancelHandler = (job: string) => Promise<string>;
 
+/** Answers a question of a package; null where nobody does. `from` is the sender's IP address. */
+export type TopicAnswer = (topic: string, payload: Uint8Array, from: string) => Promise<Uint8Array | null>;
+
 /** Answers the other controllers. */
 export class PeerServer {
   private readonly sockets = new Set<net.Socket>();
@@ -64,6 +74,7 @@
     private readonly handler: CancelHandler,
     private readonly contact: () => boolean,
     most: number,
+    private readonly topics: TopicAnswer = () => Promise.resolve(null),
   ) {
     this.server = net.createServer({ noDelay: true }, (s) => void this.serve(s));
     this.server.maxConnections = most;
@@ -83,18 +94,24 @@
     try {
       for await (const f of frames(socket)) {
         if (f.answer) continue;
-        if (f.contact) {
-          socket.write(
-            encode({ number: f.number, answer: true, cancel: '', outcome: '', contact: this.contact() }),
-          );
-          continue;
+        const reply = (answer: Partial<Frame>) => {
+          if (!socket.destroyed && socket.writableLength < MOST)
+            socket.write(encode({ ...EMPTY, ...answer, number: f.number, answer: true }));
+        };
+        if (f.topic !== '') {
+          void this.topics(f.topic, f.payload, socket.remoteAddress ?? '')
+            .catch(() => null)
+            .then((payload) => {
+              reply(payload === null ? {} : { payload });
+            });
+        } else if (f.contact) reply({ contact: this.contact() });
+        else {
+          void this.handler(f.cancel)
+            .catch(() => '')
+            .then((outcome) => {
+              reply({ outcome });
+            });
         }
-        void this.handler(f.cancel)
-          .catch(() => '')
-          .then((outcome) => {
-            if (!socket.destroyed && socket.writableLength < MOST)
-              socket.write(encode({ number: f.number, answer: true, cancel: '', outcome, contact: false }));
-          });
       }
     } catch {
       // A broken connection or frame ends this connection only.
@@ -116,6 +133,8 @@
   cancel(job: string, timeoutMs: number): Promise<string | null>;
   /** Whether the peer has contact to the state service; null where it does not answer. */
   contact(timeoutMs: number): Promise<boolean | null>;
+  /** The answer to a package's question, or null where none came in time or nobody there knows the topic. */
+  ask(topic: string, payload: Uint8Array, timeoutMs: number): Promise<Uint8Array | null>;
 }
 
 /** A connection to another controller, opened when it is needed. */
@@ -124,7 +143,11 @@
   private number = 0;
   private readonly waiting = new Map<number, (answer: Frame | null) => void>();
 
-  constructor(private readonly address: string) {}
+  constructor(
+    private readonly address: string,
+    /** The local address to connect from, where the other side tells controllers by their addresses. */
+    private readonly localAddress?: string,
+  ) {}
 
   private connect(): net.Socket {
     const cut = this.address.lastIndexOf(':');
@@ -132,6 +155,7 @@
       host: this.address.slice(0, cut),
       port: Number(this.address.slice(cut + 1)),
       noDelay: true,
+      ...(this.localAddress === undefined ? {} : { localAddress: this.localAddress }),
     });
     socket.on('error', () => undefined);
     void this.read(socket);
@@ -155,14 +179,20 @@
   }
 
   async cancel(job: string, timeoutMs: number): Promise<string | null> {
-    return (await this.ask({ cancel: job, contact: false }, timeoutMs))?.outcome ?? null;
+    return (await this.send({ cancel: job }, timeoutMs))?.outcome ?? null;
   }
 
   async contact(timeoutMs: number): Promise<boolean | null> {
-    return (await this.ask({ cancel: '', contact: true }, timeoutMs))?.contact ?? null;
+    return (await this.send({ contact: true }, timeoutMs))?.contact ?? null;
+  }
+
+  async ask(topic: string, payload: Uint8Array, timeoutMs: number): Promise<Uint8Array | null> {
+    // A version without topics takes it for a question about its contact, which harms nobody.
+    const answer = await this.send({ topic, payload, contact: true }, timeoutMs);
+    return answer === null || answer.payload.length === 0 ? null : answer.payload;
   }
 
-  private ask(what: { cancel: string; contact: boolean }, timeoutMs: number): Promise<Frame | null> {
+  private send(what: Partial<Frame>, timeoutMs: number): Promise<Frame | null> {
     if (this.waiting.size >= 100) return Promise.resolve(null);
     this.socket ??= this.connect();
     const socket = this.socket;
@@ -179,7 +209,7 @@
         this.drop(socket);
       }, timeoutMs);
       this.waiting.set(number, go);
-      socket.write(encode({ ...what, number, answer: false, outcome: '' }));
+      socket.write(encode({ ...EMPTY, ...what, number }));
     });
   }
 
--- a/src/io/state/client.ts
+++ b/src/io/state/client.ts
@@ -1,7 +1,8 @@
 /** The client of the state service: paced requests, leases, transactions, listings and the watch. */
 import type { Clock } from '../../core/clock.js';
+import type { TransactionOutcome } from '../../core/events.js';
 import { WATCHED_PREFIX } from '../../core/keys.js';
-import { NO_VERSION, revision, type Revision, type Version } from '../../core/types.js';
+import { NO_VERSION, revision, type Revision, type Steady, type Version } from '../../core/types.js';
 import type { Change } from '../../core/view.js';
 import type { Method, Reply, Transport } from '../http.js';
 import { RateLimiter, URGENCY, type Urgency } from '../rate-limiter.js';
@@ -33,6 +34,9 @@
   | { readonly kind: 'stale' }
   | { readonly kind: 'unknown' };
 
+const outcomeOf = ({ kind }: TxnResult): TransactionOutcome =>
+  kind === 'ok' || kind === 'conflict' || kind === 'refused' || kind === 'unknown' ? kind : 'other';
+
 /** Something cannot be known or done now: come back later. */
 export class Unavailable extends Error {}
 
@@ -72,6 +76,12 @@
     private readonly watchHttp: Transport,
     /** Told of each transaction that the service rejects for good. */
     private readonly rejected: (ops: readonly Op[], answer: unknown) => void = () => undefined,
+    /** Told of each transaction with changes, and since when it was under way. */
+    private readonly finished: (
+      ops: readonly Op[],
+      outcome: TransactionOutcome,
+      since: Steady,
+    ) => void = () => undefined,
   ) {
     this.limiter = new RateLimiter(
       { high: (settings.rps / settings.nodes) * 0.9, low: (settings.lowRps / settings.nodes) * 0.9 },
@@ -148,6 +158,18 @@
     ops: readonly Op[],
     urgency: Urgency,
     stale?: () => boolean,
+  ): Promise<TxnResult> {
+    const since = this.clock.now();
+    const result = await this.sendTransaction(guards, ops, urgency, stale);
+    if (ops.length > 0) this.finished(ops, outcomeOf(result), since);
+    return result;
+  }
+
+  private async sendTransaction(
+    guards: readonly Guard[],
+    ops: readonly Op[],
+    urgency: Urgency,
+    stale?: () => boolean,
   ): Promise<TxnResult> {
     const body = wire.txnToWire(guards, ops);
     const kind = ops.length === 0 ? 'barrier' : 'transaction';
--- a/src/io/users.ts
+++ b/src/io/users.ts
@@ -5,6 +5,7 @@
 import { jobId, steady } from '../core/types.js';
 import type { Cancelled, Jobs } from '../controller/jobs.js';
 import type { ReportRouter } from '../controller/report-router.js';
+import type { PackageHost } from '../packages/host.js';
 import { Unavailable } from './state/client.js';
 import * as wire from './wire.js';
 
@@ -18,6 +19,8 @@
   readonly maxConnections: number;
   readonly leastInProgress: number;
   readonly mostInProgress: number;
+  /** Commands and metrics of packages; none where no package is enabled. */
+  readonly packages?: Pick<PackageHost, 'command' | 'metrics'>;
 }
 
 class Malformed extends Error {}
@@ -118,5 +121,19 @@
     if (a.kind === 'busy') return reply.code(503).send(later);
     return reply.code(421).send(wire.elsewhereToWire(a.node));
   });
+  if (o.packages !== undefined) servePackages(app, o.packages);
   return app;
 }
+
+/** Operators' commands to packages, and their metrics. */
+function servePackages(app: FastifyInstance, packages: Pick<PackageHost, 'command' | 'metrics'>): void {
+  app.post<{ Params: { name: string; command: string } }>(wire.paths.packageCommand, async (req, reply) => {
+    const { name, command } = req.params;
+    const r = await packages.command(name, command, req.body);
+    if (r === null) return reply.code(404).send({ error: 'no such package or command' });
+    return reply.code(r.status).send(r.body);
+  });
+  app.get(wire.paths.metrics, async (_req, reply) =>
+    reply.type('text/plain; version=0.0.4').send(await packages.metrics()),
+  );
+}
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -41,6 +41,8 @@
   cancel: '/v1/jobs/:id/abort',
   health: '/healthz',
   status: '/v1/status',
+  packageCommand: '/v1/packages/:name/:command',
+  metrics: '/metrics',
   report: '/v1/report',
   direct: '/do',
   show: '/show',
--- /dev/null
+++ b/src/packages/api.ts
@@ -0,0 +1,196 @@
+/**
+ * What a package may use of the service, and what the service asks of a package. Packages know this interface and types of
+ * the core; nothing of the service knows a package.
+ */
+import type { TSchema } from '@sinclair/typebox';
+import type { Logger } from 'pino';
+import type { Settings } from '../config/settings.js';
+import type { Changes } from '../core/changes.js';
+import type { Clock } from '../core/clock.js';
+import type { EventListener } from '../core/events.js';
+import type { Run } from '../core/slowness.js';
+import type {
+  ExitWhy,
+  Incarnation,
+  JobId,
+  MachineName,
+  MachineRecord,
+  NodeName,
+  Revision,
+  Token,
+  Version,
+} from '../core/types.js';
+
+/** A slice as it is committed. */
+export interface SliceFact {
+  readonly slice: NodeName;
+  readonly holder: NodeName;
+  readonly incarnation: Incarnation;
+  /** The revision at which it got this holder: the fencing token of its machines. */
+  readonly epoch: Version;
+  /** Whether the session of this life of the holder is there. */
+  readonly hasSession: boolean;
+}
+
+/** A controller's session as it is committed. */
+export interface SessionFact {
+  readonly node: NodeName;
+  readonly incarnation: Incarnation;
+  /** It gives up what it holds, and is given nothing. */
+  readonly isDraining: boolean;
+}
+
+/** What is committed, as this controller's view has it; to be read only. */
+export interface CommittedFacts {
+  /** The view holds a complete picture. */
+  readonly isReady: boolean;
+  readonly revision: Revision;
+  slices(): SliceFact[];
+  slice(name: NodeName): SliceFact | null;
+  sessions(): SessionFact[];
+  leader(): NodeName | null;
+  machine(name: MachineName): MachineRecord | null;
+  machinesOf(slice: NodeName): MachineRecord[];
+  tokenOf(machine: MachineRecord): Token;
+  /** Whether the job is unfinished. */
+  hasJob(job: JobId): boolean;
+  /** This process holds the slice, and its view has all that was committed before it did. */
+  isHeldCompletely(slice: NodeName): boolean;
+  /** Nothing suggests that the state service is out of reach. */
+  isStateReachable(withinMs: number): boolean;
+  subscribe(listener: (changes: Changes) => void): void;
+}
+
+/** What became of an attempt to take or give a slice. */
+export type SliceOutcome =
+  | { readonly kind: 'committed'; readonly revision: Revision }
+  /** Somebody else has changed the slice or a session meanwhile. */
+  | { readonly kind: 'overtaken' }
+  /** The state service did not answer, or this process has no session. The change may be applied yet. */
+  | { readonly kind: 'unavailable' };
+
+/** Changes who holds a slice, by guarded transactions only. */
+export interface SliceControl {
+  /** Takes the slice and ends the session of the holder's life in one transaction, if nothing else has changed. */
+  takeOver(slice: SliceFact): Promise<SliceOutcome>;
+  /** Gives slices that this process holds to a controller with a session, and takes on nothing for a while. */
+  handOver(slices: readonly SliceFact[], to: NodeName, drainForMs: number): Promise<SliceOutcome>;
+}
+
+/** Another controller. */
+export interface PeerInfo {
+  readonly node: NodeName;
+  readonly zone: string;
+  /** Host and port of its link for controllers. */
+  readonly address: string;
+}
+
+/** Answers a question of another controller; null: not answered. `from` is the sender's IP address. */
+export type TopicHandler = (payload: Uint8Array, from: string) => Promise<Uint8Array | null>;
+
+/** Questions and answers between the packages of controllers. */
+export interface PeerChannel {
+  /** The answer, or null where none came in time or the peer does not know the topic. */
+  ask(node: NodeName, topic: string, payload: Uint8Array, timeoutMs: number): Promise<Uint8Array | null>;
+  /** Whether the controller answers at all, of whatever version it is. */
+  isAnswering(node: NodeName, timeoutMs: number): Promise<boolean>;
+  serve(topic: string, handler: TopicHandler): void;
+}
+
+/** What another controller has learned; it costs time where it is missing, and breaks nothing where it is wrong. */
+export type Hint =
+  | {
+      readonly kind: 'worker';
+      readonly machine: MachineName;
+      readonly address: string;
+      readonly session: number;
+      readonly seq: number;
+      readonly token: Token;
+    }
+  | {
+      readonly kind: 'job_failing';
+      readonly job: JobId;
+      readonly rounds: number;
+      readonly why: Extract<ExitWhy, 'error' | 'unknown'>;
+      readonly machines: readonly MachineName[];
+      readonly retryInMs: number;
+    }
+  | { readonly kind: 'task_ran'; readonly machine: MachineName; readonly run: Run };
+
+/** The part of the service that a package may use. */
+export interface Service {
+  readonly node: NodeName;
+  readonly incarnation: Incarnation;
+  readonly settings: Settings;
+  readonly peers: readonly PeerInfo[];
+  readonly clock: Clock;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  readonly log: Logger;
+  readonly facts: CommittedFacts;
+  readonly slices: SliceControl;
+  readonly channel: PeerChannel;
+  /** Learns what another controller has learned. */
+  learn(hint: Hint): void;
+  onEvent(listener: EventListener): void;
+  /** Opens spans where a tracing package is enabled; see `Tracer`. */
+  readonly tracer: Tracer;
+  /** Makes this process's spans go to a tracing package. */
+  provideTracer(tracer: Tracer): void;
+}
+
+/** Where a span belongs, in the form of the W3C trace context; empty without tracing. */
+export type TraceParent = string;
+
+/** Spans as packages record them: after the fact, with their times on the steady clock. */
+export interface Tracer {
+  /** Records a span that has ended. */
+  record(span: FinishedSpan): void;
+  /** A context for a span that is recorded later, so that others can name it as their parent before. */
+  reserve(parent?: TraceParent): TraceParent;
+}
+
+/** A span with its times on the steady clock. */
+export interface FinishedSpan {
+  readonly name: string;
+  readonly startMs: number;
+  readonly endMs: number;
+  readonly parent?: TraceParent | undefined;
+  /** The context that was reserved for it, if one was. */
+  readonly self?: TraceParent;
+  readonly attributes?: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** The answer to an operator's command. */
+export interface CommandReply {
+  readonly status: 200 | 400 | 409 | 503;
+  readonly body: object;
+}
+
+/** A package that runs. */
+export interface RunningPackage {
+  /** Runs until the process ends. */
+  run(): Promise<void>;
+  /** Its part of what `status` shows. */
+  status?(): object;
+  /** Operators' commands by name. */
+  readonly commands?: Readonly<Record<string, (body: unknown) => Promise<CommandReply>>>;
+  /** Metrics in the text format of Prometheus. */
+  metrics?(): Promise<string>;
+}
+
+/** What the file of a package exports as `servicePackage`. */
+export interface ServicePackage<Options = unknown> {
+  /** What its section of the operators' file may hold, with defaults. */
+  readonly schema: TSchema;
+  /** The first thing wrong with options that fit the schema, with its path, or null. */
+  validate(options: Options, settings: Settings): string | null;
+  start(service: Service, options: Options): RunningPackage;
+}
+
+/** A package with its checked options. */
+export interface LoadedPackage {
+  readonly name: string;
+  readonly definition: ServicePackage;
+  readonly options: unknown;
+}
--- /dev/null
+++ b/src/packages/loader.ts
@@ -0,0 +1,50 @@
+/**
+ * Loads the packages that the operators' file enables. Each is a file of its own beside the program; without a section
+ * `[packages.NAME]` nothing of it is read.
+ */
+import { existsSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import path from 'node:path';
+import { SettingsError, check, type Settings } from '../config/settings.js';
+import type { LoadedPackage, ServicePackage } from './api.js';
+
+const NAME = /^[a-z][a-z0-9_]*$/;
+
+/** Where the build puts the packages. */
+export const PACKAGES_DIRECTORY = path.join(__dirname, 'packages');
+
+const isPackage = (value: unknown): value is ServicePackage =>
+  typeof value === 'object' && value !== null && 'schema' in value && 'start' in value;
+
+function definitionOf(name: string, directory: string): ServicePackage {
+  const file = path.join(directory, `${name.replaceAll('_', '-')}.cjs`);
+  if (!NAME.test(name) || !existsSync(file))
+    throw new SettingsError(`packages.${name}: there is no such package`);
+  const { servicePackage } = createRequire(file)(file) as { servicePackage?: unknown };
+  if (!isPackage(servicePackage)) throw new SettingsError(`packages.${name}: ${file} is not a package`);
+  return servicePackage;
+}
+
+/** Checks the options of one package, with its defaults filled in. Throws `SettingsError` with the path. */
+export function configure(
+  name: string,
+  definition: ServicePackage,
+  section: unknown,
+  settings: Settings,
+): LoadedPackage {
+  const options = structuredClone(section);
+  const wrong = check(definition.schema, options) ?? definition.validate(options, settings);
+  if (wrong !== null) throw new SettingsError(`packages.${name}.${wrong}`);
+  return { name, definition, options };
+}
+
+/** Loads and checks all packages that have a section. Throws `SettingsError`. */
+export function loadPackages(
+  sections: Readonly<Record<string, unknown>>,
+  settings: Settings,
+  directory = PACKAGES_DIRECTORY,
+): LoadedPackage[] {
+  return Object.entries(sections).map(([name, section]) =>
+    configure(name, definitionOf(name, directory), section, settings),
+  );
+}
--- a/test/sim/meeting.ts
+++ b/test/sim/meeting.ts
@@ -12,9 +12,9 @@
 const NEXT_SEED = 100;
 
 /** A run with work under way at 25 s, nothing having gone wrong so far: with this seed, or the first after it that is one. */
-export async function begun(seed: number, size: Size = SMALL): Promise<Sim> {
+export async function begun(seed: number, size: Size = SMALL, packages?: Node['packages']): Promise<Sim> {
   for (let i = 0; i < MOST_TRIES; i++) {
-    const sim = await quiet(seed + i * NEXT_SEED, size, 25_000);
+    const sim = await quiet(seed + i * NEXT_SEED, size, 25_000, packages);
     if (sim.running().length >= 3) return sim;
   }
   return assert.fail('several jobs run with no seed');
@@ -42,10 +42,11 @@
   name: string,
   play: (sim: Sim) => Promise<void>,
   seeds: readonly number[] = [3, 8],
+  packages?: Node['packages'],
 ): void {
   for (const seed of seeds)
     test(`${name}, seed ${seed}`, async () => {
-      const sim = await begun(seed);
+      const sim = await begun(seed, SMALL, packages);
       try {
         await play(sim);
         await ends(sim);
--- a/test/sim/node.ts
+++ b/test/sim/node.ts
@@ -8,6 +8,7 @@
 import type { Peer } from '../../src/io/peers.js';
 import * as wire from '../../src/io/wire.js';
 import type { Workers } from '../../src/io/workers.js';
+import type { LoadedPackage } from '../../src/packages/api.js';
 import type { Sim } from './run.js';
 import { LIMITS, NODES, TEAMS, ZONES, type Json } from './sizes.js';
 import { ProcessClock } from './world.js';
@@ -27,6 +28,10 @@
   controller: Controller | null = null;
   clock: ProcessClock;
   lives = 0;
+  /** The packages that the node runs, made anew with each start. */
+  packages: (settings: Settings) => readonly LoadedPackage[] = () => [];
+  /** Controllers that it does not reach, and that do not reach it. */
+  readonly cutFrom = new Set<string>();
   /** What the node cannot reach now. */
   readonly cut = new Set<'state' | 'workers' | 'peers'>();
   refused = false;
@@ -56,10 +61,12 @@
       watch: this.stateService(this.clock, true),
       cloud: this.cloud(this.clock),
       workers: this.workers(this.clock),
-      peers: new Map(NODES.filter((n) => n !== this.name).map((n) => [n, this.peer(this.clock, n)])),
+      peers: this.peers(),
+      packageLinks: this.peers(),
     };
     const log = pino({ level: 'silent' });
-    this.controller = new Controller(this.settings(), readOperator(OPERATOR), log, outside);
+    const settings = this.settings();
+    this.controller = new Controller(settings, readOperator(OPERATOR), log, outside, this.packages(settings));
     this.controller.run().catch((e: unknown) => {
       sim.failed ??= asError(e);
     });
@@ -79,7 +86,7 @@
       peerBind: '',
       peers: NODES.filter((n) => n !== this.name).map((n) => ({
         node: nodeName(n),
-        zone: zoneName('a'),
+        zone: zoneName(ZONES[NODES.indexOf(n) % ZONES.length]!),
         address: '',
       })),
       cloud: '',
@@ -228,44 +235,57 @@
     };
   }
 
+  private peers(): ReadonlyMap<string, Peer> {
+    return new Map(NODES.filter((n) => n !== this.name).map((n) => [n, this.peer(this.clock, n)]));
+  }
+
+  /** Asks another controller; null where no answer comes in time. */
+  private across<T>(
+    clock: ProcessClock,
+    name: string,
+    ms: number,
+    delayMs: number,
+    asked: (controller: Controller) => Promise<T>,
+  ): Promise<T | null> {
+    const { world } = this.sim;
+    return new Promise((resolve, reject) => {
+      clock.after(ms, () => {
+        resolve(null);
+      });
+      world.after(delayMs, () => {
+        const to = this.sim.nodes.get(name)!;
+        if (
+          this.cut.has('peers') ||
+          to.cut.has('peers') ||
+          this.cutFrom.has(name) ||
+          to.cutFrom.has(this.name)
+        )
+          return;
+        const { controller } = to;
+        if (controller === null) return;
+        to.clock.run(() => {
+          asked(controller)
+            .then((answer) => {
+              clock.run(() => {
+                resolve(answer);
+              });
+            })
+            .catch(reject);
+        });
+      });
+    });
+  }
+
   private peer(clock: ProcessClock, name: string): Peer {
-    const { sim } = this;
-    const { world } = sim;
+    const { world } = this.sim;
+    const delay = () => world.int(1, 6);
     return {
       contact: (ms) =>
-        new Promise<boolean | null>((resolve) => {
-          clock.after(ms, () => {
-            resolve(null);
-          });
-          const to = sim.nodes.get(name)!;
-          world.after(world.int(1, 6), () => {
-            const { controller } = to;
-            if (this.cut.has('peers') || to.cut.has('peers') || controller === null) return;
-            to.clock.run(() => {
-              const contact = controller.ctx.state.reachable(1500);
-              clock.run(() => {
-                resolve(contact);
-              });
-            });
-          });
-        }),
+        this.across(clock, name, ms, delay(), (c) => Promise.resolve(c.ctx.state.reachable(1500))),
       cancel: (job, ms) =>
-        new Promise<string | null>((resolve) => {
-          clock.after(ms, () => {
-            resolve(null);
-          });
-          const to = sim.nodes.get(name)!;
-          if (this.cut.has('peers') || to.cut.has('peers') || to.controller === null) return;
-          const { controller } = to;
-          world.after(3, () => {
-            to.clock.run(() => {
-              const outcome = controller.jobs.takeCancel(jobId(job));
-              clock.run(() => {
-                resolve(outcome);
-              });
-            });
-          });
-        }),
+        this.across(clock, name, ms, 3, (c) => Promise.resolve(c.jobs.takeCancel(jobId(job)))),
+      ask: (topic, payload, ms) =>
+        this.across(clock, name, ms, delay(), (c) => c.channel.answer(topic, payload.slice(), this.name)),
     };
   }
 }
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -40,6 +40,7 @@
     seed: number,
     readonly size: Size = SMALL,
     upgrade = false,
+    packages: Node['packages'] = () => [],
   ) {
     this.world = new World(seed);
     this.state = new StateService(this.world, size);
@@ -76,6 +77,7 @@
     NODES.forEach((name, i) => {
       const n = new Node(this, name, ZONES[i % 2]!);
       n.old = upgrade;
+      n.packages = packages;
       this.nodes.set(name, n);
       n.start();
     });
@@ -494,8 +496,8 @@
 }
 
 /** A run in which nothing has gone wrong by itself up to the time given, for tests of one trouble alone. */
-export async function quiet(seed: number, size: Size, ms: number): Promise<Sim> {
-  const sim = new Sim(seed, size);
+export async function quiet(seed: number, size: Size, ms: number, packages?: Node['packages']): Promise<Sim> {
+  const sim = new Sim(seed, size, false, packages);
   sim.copies = 0;
   sim.smooth = true;
   await sim.world.runUntil(ms);
