--- /dev/null
+++ b/packages/warm-standby/test/loopback.test.ts
@@ -0,0 +1,107 @@
+/** The built program with warm standbys and tracing: controllers killed and paused in the middle of a burst, and handed over. */
+import assert from 'node:assert/strict';
+import { existsSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+import { test } from 'node:test';
+import { Cluster, NODES } from './loopback/cluster.js';
+import { Users } from './loopback/users.js';
+import type { Shown } from './standbys.js';
+
+const OPERATOR = (directory: string) => `
+[slices]
+settled_s = 3.0
+[packages.warm_standby.takeover]
+backoff_ms = 2000
+[packages.tracing]
+file = "${directory}/spans.jsonl"
+sample_ratio = 1.0
+flush_ms = 200
+`;
+
+interface Status {
+  readonly packages: { readonly warm_standby: Shown };
+}
+
+const statusOf = async (cluster: Cluster, node: string): Promise<Shown | null> => {
+  const reply = await cluster.controllers.get(node)!.ask('GET', '/v1/status');
+  return reply?.status === 200 ? (reply.body as Status).packages.warm_standby : null;
+};
+
+/** The names of all spans so far. */
+function tracedNames(cluster: Cluster): Set<string> {
+  const file = path.join(cluster.directory, 'spans.jsonl');
+  const lines = existsSync(file) ? readFileSync(file, 'utf8').trim().split('\n') : [];
+  return new Set(lines.map((l) => (JSON.parse(l) as { name: string }).name));
+}
+
+/** Every slice is at home and has a warm standby, as all controllers see it. */
+async function isSettled(cluster: Cluster): Promise<boolean> {
+  for (const node of NODES) {
+    const status = await statusOf(cluster, node);
+    if (status?.slices.length !== NODES.length) return false;
+    const isWell = status.slices.every(
+      (s) =>
+        s.active === s.slice &&
+        (s.role !== 'holder' || s.followers?.some((f) => f.status === 'following')) &&
+        (s.role !== 'standby' || s.warm === true),
+    );
+    if (!isWell) return false;
+  }
+  return true;
+}
+
+test('kills, pauses and a handover in a burst: nothing runs twice, nothing is lost, none is told older', async () => {
+  const cluster = new Cluster(14);
+  const users = new Users(cluster);
+  const settled = () => cluster.until('settled', () => isSettled(cluster));
+  const moved = (node: string) =>
+    cluster.until(`the slice of ${node} has another holder`, () => cluster.holderOf(node)?.holder !== node);
+  try {
+    await cluster.start(OPERATOR(cluster.directory));
+    await settled();
+    void users.run(120);
+    await cluster.until('work is under way', () => cluster.fleet.starts > 20);
+    const [first, second, third] = NODES.map((n) => cluster.controllers.get(n)!);
+
+    await first!.kill();
+    await moved(first!.name);
+    const startsBefore = cluster.fleet.starts;
+    await cluster.until('work goes on', () => cluster.fleet.starts > startsBefore + 20);
+    first!.start();
+    await settled();
+
+    second!.pause();
+    await moved(second!.name);
+    second!.resume();
+    await settled();
+
+    const reply = await third!.ask('POST', '/v1/packages/warm_standby/handover', {}, 30_000);
+    assert.equal(reply?.status, 200, JSON.stringify(reply?.body));
+    assert.notEqual(cluster.holderOf(third!.name)?.holder, third!.name);
+    await cluster.until('the handover is traced', () => tracedNames(cluster).has('handover'));
+    await third!.kill();
+    third!.start();
+    await settled();
+
+    users.stop();
+    await cluster.until('all jobs are over', () => users.open().length === 0, 180_000);
+    assert.equal(users.failed, null);
+    assert.equal(cluster.failed, null);
+    const metrics = await (await fetch(`http://${second!.address}/metrics`)).text();
+    assert.match(metrics, /^pepperbank_standby_lag_entries\{slice="c-1",standby="c-\d"\} \d+$/m);
+    assert.match(metrics, /^pepperbank_tracing_spans\{exporter="file",outcome="dropped"\} 0$/m);
+    const names = tracedNames(cluster);
+    for (const name of [
+      'job.submit',
+      'task.commit',
+      'task.command',
+      'task.first_report',
+      'takeover',
+      'handover',
+    ])
+      assert.ok(names.has(name), `${name} was traced`);
+  } finally {
+    users.stop();
+    await cluster.stop();
+  }
+});
--- /dev/null
+++ b/packages/warm-standby/test/loopback/users.ts
@@ -0,0 +1,113 @@
+/** Users of a loopback cluster: they submit, ask and submit again, and the history of their answers is checked. */
+import assert from 'node:assert/strict';
+import type { Submitted } from '../../../../test/sim/fleet.js';
+import { submission } from '../../../../test/samples.js';
+import { NODES, type Cluster } from './cluster.js';
+
+const RETRY_MS = 300;
+const POLL_MS = 700;
+
+/** Submits jobs and checks what is told about them. */
+export class Users {
+  /** How long each submission took to be accepted, with its retries. */
+  readonly acceptedAfterMs: { readonly at: number; readonly ms: number }[] = [];
+  answers = 0;
+  failed: Error | null = null;
+  private jobs = 0;
+  private isSubmitting = true;
+
+  constructor(private readonly cluster: Cluster) {}
+
+  /** Submits a job about every so many milliseconds until `stop`. */
+  async run(everyMs: number): Promise<void> {
+    while (this.isSubmitting) {
+      this.submit().catch((e: unknown) => {
+        this.failed ??= e instanceof Error ? e : new Error(String(e));
+      });
+      await sleep(everyMs);
+    }
+  }
+
+  stop(): void {
+    this.isSubmitting = false;
+  }
+
+  /** Jobs that were accepted and are not known to be over. */
+  open(): string[] {
+    return [...this.cluster.fleet.submitted]
+      .filter(([, j]) => j.accepted && j.toldFinal === null)
+      .map(([id]) => id);
+  }
+
+  private async submit(): Promise<void> {
+    const { world, fleet } = this.cluster;
+    const id = `wk-${String(++this.jobs).padStart(6, '0')}`;
+    const isGang = this.jobs % 5 === 0;
+    const tasks = isGang ? 2 : world.int(1, 3);
+    const body = submission({
+      nameId: id,
+      tenant: ['red', 'blue', 'green'][this.jobs % 3],
+      shape: isGang ? 'ensemble' : 'sweep',
+      shards: tasks,
+      vcpus: 2,
+      cards: 0,
+      memoryGb: 4,
+      dueS: null,
+    });
+    const job: Submitted = {
+      body,
+      kind: isGang ? 'ensemble' : 'sweep',
+      tasks,
+      runMs: world.int(300, 2500),
+      apartMs: 0,
+      broken: false,
+      doneTasks: new Set(),
+      toldCancelledAt: null,
+      toldFinal: null,
+      answeredAt: null,
+      accepted: false,
+      asked: false,
+      needs: [],
+    };
+    fleet.submitted.set(id, job);
+    const start = performance.now();
+    while (!job.accepted) {
+      const reply = await this.anyController().ask('POST', '/v1/jobs', body);
+      job.accepted = reply?.status === 201 || reply?.status === 200;
+      if (!job.accepted) await sleep(RETRY_MS);
+    }
+    this.acceptedAfterMs.push({ at: start, ms: performance.now() - start });
+    await this.follow(id, job);
+  }
+
+  private async follow(id: string, job: Submitted): Promise<void> {
+    while (job.toldFinal === null) {
+      await sleep(POLL_MS);
+      const reply = await this.anyController().ask('GET', `/v1/jobs/${id}`, undefined, 2000);
+      if (reply === null || reply.status >= 429) continue;
+      assert.equal(reply.status, 200, `forgotten: ${id} is answered ${reply.status}`);
+      this.answers++;
+      this.told(id, job, (reply.body as { standing: string }).standing);
+    }
+    // A final state is for ever, at whichever controller.
+    await sleep(POLL_MS);
+    const reply = await this.anyController().ask('GET', `/v1/jobs/${id}`, undefined, 2000);
+    if (reply?.status === 200) this.told(id, job, (reply.body as { standing: string }).standing);
+  }
+
+  private told(id: string, job: Submitted, standing: string): void {
+    if (job.toldFinal !== null) assert.equal(standing, job.toldFinal, `went_back: ${id}`);
+    if (standing !== 'done') {
+      assert.notEqual(standing, 'withdrawn', `${id} was cancelled by nobody`);
+      return;
+    }
+    assert.equal(job.doneTasks.size, job.tasks, `not_done: ${id}`);
+    job.toldFinal = 'done';
+  }
+
+  private anyController() {
+    return this.cluster.controllers.get(this.cluster.world.pick(NODES))!;
+  }
+}
+
+export const sleep = (ms: number) => new Promise<void>((r) => setTimeout(r, ms));
--- /dev/null
+++ b/packages/warm-standby/test/replication.test.ts
@@ -0,0 +1,225 @@
+/** The replicated log: what a standby makes of messages that are late, lost, repeated, reordered or damaged. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { jobId, machineName, nodeName, steady, token, version, wallMs } from '../../../src/core/types.js';
+import { attempt } from '../../../src/core/types.js';
+import { DecisionLog } from '../src/decision-log.js';
+import type { LogEntry } from '../src/entries.js';
+import {
+  MessageError,
+  decodeAppend,
+  decodeSnapshot,
+  encodeAppend,
+  encodeSnapshot,
+  entrySize,
+  type Append,
+} from '../src/messages.js';
+import { Replica, type AppendMessage } from '../src/replica.js';
+import { SliceMemory } from '../src/slice-memory.js';
+
+const slice = nodeName('c-0');
+const node = nodeName('c-1');
+const EPOCH = version(7);
+
+const names = fc.integer({ min: 0, max: 4 }).map((n) => machineName(`n-${n}`));
+const tasks = fc.record({
+  job: fc.integer({ min: 0, max: 4 }).map((n) => jobId(`wk-${n}`)),
+  index: fc.nat(5),
+  attempt: fc.nat(3).map(attempt),
+  machine: names,
+});
+const entries: fc.Arbitrary<LogEntry> = fc.oneof(
+  fc.record({ kind: fc.constantFrom('start' as const, 'stop' as const, 'preempt' as const), task: tasks }),
+  fc.record({
+    kind: fc.constant('left' as const),
+    task: tasks,
+    why: fc.constantFrom('done', 'absent', 'error'),
+  }),
+  fc.record({
+    kind: fc.constant('worker' as const),
+    machine: names,
+    address: fc.constantFrom('10.0.0.1:1', '10.0.0.2:1'),
+    session: fc.nat(3),
+    seq: fc.nat(9),
+    token: fc.nat(9).map(token),
+    heardAt: fc.nat(9).map(wallMs),
+  }),
+  fc.record({
+    kind: fc.constant('job_failing' as const),
+    job: fc.constant(jobId('wk-1')),
+    rounds: fc.nat(4),
+    why: fc.constantFrom('error', 'unknown'),
+    machines: fc.array(names, { maxLength: 3 }),
+    retryAt: fc.nat(99).map(wallMs),
+  }),
+  fc.record({
+    kind: fc.constant('run' as const),
+    machine: names,
+    run: fc.record({
+      job: fc.constant(jobId('wk-2')),
+      cls: fc.constant('c'),
+      tookS: fc.nat(50),
+      estimateS: fc.nat(50),
+    }),
+  }),
+);
+
+const memoryOf = (list: readonly LogEntry[]) => {
+  const memory = new SliceMemory();
+  for (const e of list) memory.apply(e);
+  return memory;
+};
+
+test('whatever is lost, repeated or reordered, a replica holds exactly the first entries of the log', () => {
+  const step = fc.record({
+    first: fc.integer({ min: 1, max: 40 }),
+    count: fc.nat(12),
+    epoch: fc.constantFrom(6, 7),
+  });
+  fc.assert(
+    fc.property(fc.array(entries, { maxLength: 40 }), fc.array(step, { maxLength: 40 }), (log, steps) => {
+      const replica = new Replica(slice);
+      for (const [i, { first, count, epoch }] of steps.entries()) {
+        const message: AppendMessage = {
+          epoch: version(epoch),
+          first,
+          entries: log.slice(first - 1, first - 1 + count),
+          head: log.length,
+        };
+        const before = replica.applied;
+        const outcome = replica.append(message, steady(i));
+        if (replica.epoch > epoch) assert.equal(outcome, 'stale');
+        if (outcome !== 'applied') assert.ok(replica.applied === before || replica.applied === null);
+        // Entries of both epochs are the same here, so that each state is that of some beginning of the log.
+        assert.deepEqual(replica.memory.entries(), memoryOf(log.slice(0, replica.applied ?? 0)).entries());
+      }
+    }),
+    { seed: 5, numRuns: 300 },
+  );
+});
+
+test('messages survive the wire, and damaged ones are refused and harm nothing', () => {
+  fc.assert(
+    fc.property(fc.array(entries, { maxLength: 20 }), fc.nat(), (drawn, cut) => {
+      const list = drawn.map((e) => structuredClone(e));
+      const message: Append = { node, slice, epoch: EPOCH, first: 3, entries: list, head: 30 };
+      const bytes = encodeAppend(message);
+      assert.deepEqual(decodeAppend(bytes), message);
+      const part = { node, slice, epoch: EPOCH, upTo: 9, part: 1, parts: 3, entries: list };
+      assert.deepEqual(decodeSnapshot(encodeSnapshot(part)), part);
+      const damaged = bytes.slice(0, cut % bytes.length);
+      try {
+        const short = decodeAppend(damaged);
+        // What is cut between two entries is a shorter message, not another one.
+        assert.deepEqual(short.entries, list.slice(0, short.entries.length));
+      } catch (e) {
+        assert.ok(e instanceof MessageError, String(e));
+      }
+    }),
+    { seed: 6, numRuns: 300 },
+  );
+});
+
+test('a newer format is refused as such, and numbers that make no sense as malformed', () => {
+  const message: Append = { node, slice, epoch: EPOCH, first: 1, entries: [], head: 0 };
+  const newer = encodeAppend(message);
+  newer[1] = 99;
+  assert.throws(
+    () => decodeAppend(newer),
+    (e: unknown) => e instanceof MessageError && e.code === 'unsupported',
+  );
+  for (const wrong of [{ first: 0 }, { first: 1.5 }, { head: -1 }, { epoch: version(Number.NaN) }])
+    assert.throws(
+      () => decodeAppend(encodeAppend({ ...message, ...wrong })),
+      (e: unknown) => e instanceof MessageError && e.code === 'malformed',
+    );
+  assert.throws(() => decodeAppend(new Uint8Array()), MessageError);
+});
+
+test('a standby that fell behind the tail gets a snapshot, and then goes on with the tail', () => {
+  const log = new DecisionLog(slice, EPOCH, 10);
+  const replica = new Replica(slice);
+  for (let i = 0; i < 100; i++)
+    log.append({
+      kind: 'worker',
+      machine: machineName(`n-${i % 30}`),
+      address: `a:${i}`,
+      session: 1,
+      seq: i,
+      token: token(7),
+      heardAt: wallMs(i),
+    });
+  assert.equal(log.after(0, 100), null, 'the tail does not reach back that far');
+  assert.equal(replica.append({ epoch: EPOCH, first: 95, entries: [], head: 100 }, steady(0)), 'gap');
+  assert.equal(replica.isWarm(EPOCH, 1000, 1000), false);
+  const all = log.memory.entries();
+  const parts = [all.slice(0, 12), all.slice(12)];
+  parts.forEach((part, i) => {
+    const message = { epoch: EPOCH, upTo: log.head, part: i, parts: 2, entries: part };
+    assert.equal(replica.snapshot(message, steady(1)), 'applied');
+  });
+  assert.equal(replica.applied, 100);
+  assert.deepEqual(replica.memory.entries(), log.memory.entries());
+  const next = log.after(100, 5)!;
+  assert.equal(replica.append({ epoch: EPOCH, ...next, head: log.head }, steady(2)), 'applied');
+  assert.equal(replica.isWarm(EPOCH, 1000, 1000), true);
+  assert.equal(replica.isWarm(version(8), 1000, 1000), false, 'not for another epoch');
+});
+
+test('the parts of two snapshots are never put together, and an old one takes nothing back', () => {
+  const replica = new Replica(slice);
+  const part = (upTo: number, n: number) => ({ epoch: EPOCH, upTo, part: n, parts: 2, entries: [] });
+  assert.equal(replica.snapshot(part(5, 0), steady(0)), 'applied');
+  assert.equal(replica.snapshot(part(6, 1), steady(0)), 'gap');
+  assert.equal(replica.applied, null);
+  replica.snapshot(part(6, 0), steady(0));
+  replica.snapshot(part(6, 1), steady(0));
+  assert.equal(replica.applied, 6);
+  replica.snapshot(part(5, 0), steady(0));
+  replica.snapshot(part(5, 1), steady(0));
+  assert.equal(replica.applied, 6);
+});
+
+test('lag is told in entries and in time, and beyond its bounds a standby is not warm', () => {
+  const replica = new Replica(slice);
+  const start: LogEntry = {
+    kind: 'start',
+    task: { job: jobId('wk-1'), index: 0, attempt: attempt(1), machine: machineName('n-1') },
+  };
+  replica.append({ epoch: EPOCH, first: 1, entries: [start], head: 1 }, steady(1000));
+  assert.deepEqual(replica.lag(), { entries: 0, ms: 0 });
+  replica.append({ epoch: EPOCH, first: 2, entries: [], head: 500 }, steady(4000));
+  assert.deepEqual(replica.lag(), { entries: 499, ms: 3000 });
+  assert.equal(replica.isWarm(EPOCH, 498, 9000), false);
+  assert.equal(replica.isWarm(EPOCH, 499, 2999), false);
+  assert.equal(replica.isWarm(EPOCH, 499, 3000), true);
+});
+
+test('what is gone is pruned, an unchanged worker is no entry, and memory is bounded', () => {
+  const log = new DecisionLog(slice, EPOCH, 50);
+  const heard = (machine: string, at: number): LogEntry => ({
+    kind: 'worker',
+    machine: machineName(machine),
+    address: 'a:1',
+    session: 1,
+    seq: at,
+    token: token(7),
+    heardAt: wallMs(at),
+  });
+  log.append(heard('n-1', 0));
+  log.append(heard('n-1', 2000));
+  assert.equal(log.head, 1, 'nothing new');
+  log.append(heard('n-1', 12_000));
+  assert.equal(log.head, 2);
+  for (let i = 0; i < 5000; i++)
+    log.append({
+      kind: 'left',
+      task: { job: jobId('wk-1'), index: i, attempt: attempt(1), machine: machineName('n-1') },
+      why: 'done',
+    });
+  assert.ok(log.memory.entries().length <= 2001);
+  log.memory.prune({ hasMachine: () => false, hasJob: () => false });
+  assert.deepEqual(log.memory.entries(), []);
+  assert.ok(entrySize(heard('n-1', 0)) < 80, 'a worker takes little of a message');
+});
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -98,8 +98,12 @@
 }
 
 type Table = Record<string, unknown>;
-const isTable = (value: unknown): value is Table =>
-  typeof value === 'object' && value !== null && Object.getPrototypeOf(value) === Object.prototype;
+/** Tables are plain objects with or without a prototype; dates and lists are none. */
+function isTable(value: unknown): value is Table {
+  if (typeof value !== 'object' || value === null) return false;
+  const prototype: unknown = Object.getPrototypeOf(value);
+  return prototype === null || prototype === Object.prototype;
+}
 
 /** Adds the settings of one file to those before it. The path of a setting that is there already, or null. */
 function merge(into: Table, from: Table, path: string): string | null {
--- a/test/samples.ts
+++ b/test/samples.ts
@@ -60,3 +60,31 @@
   placed,
   since: wallMs(0),
 });
+
+/** The platform's settings of the first of three controllers in two zones. */
+export const platformSettings = `
+node = "c-0"
+area = "a"
+bind = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+[[others]]
+node = "c-1"
+area = "b"
+endpoint = "10.0.0.2:8081"
+[[others]]
+node = "c-2"
+area = "a"
+endpoint = "10.0.0.3:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+count = 3
+zones = ["a", "b"]
+time_bound_ms = 100.0
+teams = []
+workers = { report_s = 2.5, lease_s = 14.0, gang_wait_s = 40.0, gang_peer_s = 5.0, cancel_s = 44.0 }
+state = { rps = 150.0, write_rps = 60.0, value_kb = 8.0, txn_ops = 32 }
+cloud = { rps = 2.0, list_lag_s = 6.0 }
+quota = { cpu = 0.255, ram_mb = 178.0, max_connections = 1500 }
+`;
--- a/test/sim/fleet.ts
+++ b/test/sim/fleet.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import type { Reply } from '../../src/io/http.js';
+import type { Limits } from './sizes.js';
 import type { World } from './world.js';
 
 type Json = Record<string, unknown>;
@@ -39,14 +40,6 @@
   since: number;
 }
 
-export interface Limits {
-  readonly leaseS: number;
-  readonly reportS: number;
-  readonly gangWaitS: number;
-  readonly gangPeerS: number;
-  readonly cancelS: number;
-}
-
 const CAP = { vcpus: 16, cards: 4, memoryGb: 64 };
 
 export class Worker {
@@ -100,7 +93,7 @@
   body(): Json {
     return {
       teller: this.name,
-      endpoint: this.name,
+      endpoint: this.fleet.endpointOf(this.name),
       flavor: 'm',
       vault: this.zone,
       loaner: this.spot,
@@ -293,6 +286,8 @@
   /** Machines that were returned with tasks on them. */
   busyReturned = 0;
   down = false;
+  /** Where a machine's worker takes direct commands. */
+  endpointOf: (name: string) => string = (name) => name;
   /** How often a worker looks whether it has something to do. */
   workerTickMs = 100;
   /** Called at the moment at which a job's last task ends. */
--- a/test/sim/sizes.ts
+++ b/test/sim/sizes.ts
@@ -1,7 +1,15 @@
 /** Limits, names and sizes of seeded runs. */
-import type { Limits } from './fleet.js';
 import type { Budget } from './state.js';
 
+/** What the platform's settings say of workers. */
+export interface Limits {
+  readonly leaseS: number;
+  readonly reportS: number;
+  readonly gangWaitS: number;
+  readonly gangPeerS: number;
+  readonly cancelS: number;
+}
+
 /** A cancellation is said only once nothing of the job is left, so next to no time is allowed here. */
 export const LIMITS: Limits = { leaseS: 8, reportS: 1.5, gangWaitS: 20, gangPeerS: 3, cancelS: 0.5 };
 /** The controllers. */
