A restarted controller keeps its session all along; measurement of takeovers; smaller twins

Cause, seen in a test of takeovers: a restarted controller ended its predecessor's session before it had written its own. In that moment the leader saw no session and gave the slice away, so that a plain restart cost two changes of holder. The new session now replaces the old one, whose lease is ended afterwards.

Also: a removal of a list of substitutes that was refused is no longer forgotten; a late report about a job that is over leaves no state behind; the lag of the cloud's list, the mark for a return and bounded maps have one home each.

--- a/packages/tracing/src/job-spans.ts
+++ b/packages/tracing/src/job-spans.ts
@@ -3,6 +3,7 @@
  * Spans of one job have the same trace at every controller, so that a job which changes its owner stays one trace.
  */
 import type { SpanContext } from '@opentelemetry/api';
+import { dropOldest } from '../../../src/core/bounded.js';
 import type { ServiceEvent, TaskOnMachine } from '../../../src/core/events.js';
 import { key } from '../../../src/core/keys.js';
 import type { JobId, MachineName, Report } from '../../../src/core/types.js';
@@ -69,7 +70,7 @@
       const whole = jobContext(job);
       context = isSampled(whole, this.ratio) ? whole : null;
       this.contexts.set(job, context);
-      if (this.contexts.size > MOST_JOBS) this.contexts.delete(this.contexts.keys().next().value!);
+      dropOldest(this.contexts, MOST_JOBS);
     }
     return context;
   }
--- /dev/null
+++ b/packages/warm-standby/measure/takeovers.ts
@@ -0,0 +1,270 @@
+/**
+ * Measures takeovers with real processes on loopback, with warm standbys and without: how long a slice is without a holder, until its
+ * workers are answered and start tasks again, and how long users wait. One JSON line a takeover. No part of CI:
+ *
+ *     npm run --silent measure:takeovers -- --kind kill --runs 30 --standby on
+ */
+import { appendFileSync, readFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { Cluster, NODES, type ControllerProcess } from '../test/loopback/cluster.js';
+import { Users, sleep } from '../test/loopback/users.js';
+import { key } from '../../../src/core/keys.js';
+import { machineName } from '../../../src/core/types.js';
+import type { Shown } from '../test/standbys.js';
+
+const SHORT_PAUSE_MS = 700;
+const LONG_PAUSE_MS = 12_000;
+const CUT_MS = 12_000;
+const PER_ZONE = 14;
+const SUBMIT_EVERY_MS = 200;
+/** A fault that moves nothing within this time is not going to. */
+const NO_MOVE_MS = 3000;
+
+const KINDS = ['kill', 'short-pause', 'long-pause', 'cut', 'planned'] as const;
+type Kind = (typeof KINDS)[number];
+
+// The back-off between takeovers of one slice would hold up the next round; it is as good as off here, and only here.
+const OPERATOR = {
+  on: `[slices]\nsettled_s = 3.0\n[packages.warm_standby.takeover]\nbackoff_ms = 100\nlongest_backoff_ms = 100\n`,
+  off: `[slices]\nsettled_s = 3.0\n`,
+};
+
+/** One takeover, in milliseconds after the fault; null: it did not happen. */
+interface Round {
+  readonly kind: Kind;
+  readonly standby: 'on' | 'off';
+  readonly round: number;
+  readonly workers: number;
+  holderMs: number | null;
+  firstReportMs: number | null;
+  firstStartMs: number | null;
+  allReportsMs: number | null;
+  usersLongestMs: number;
+  cause: string | null;
+  warm: boolean | null;
+}
+
+interface Fault {
+  begin(): Promise<void>;
+  end(): Promise<void>;
+}
+
+function faultOf(kind: Kind, victim: ControllerProcess, cluster: Cluster): Fault {
+  const pause = (ms: number): Fault => ({
+    begin: () => {
+      victim.pause();
+      setTimeout(() => {
+        victim.resume();
+      }, ms);
+      return Promise.resolve();
+    },
+    end: () => sleep(ms),
+  });
+  switch (kind) {
+    case 'kill':
+      return {
+        begin: () => victim.kill(),
+        end: () => {
+          victim.start();
+          return Promise.resolve();
+        },
+      };
+    case 'short-pause':
+      return pause(SHORT_PAUSE_MS);
+    case 'long-pause':
+      return pause(LONG_PAUSE_MS);
+    case 'cut':
+      return {
+        begin: () => {
+          cluster.cut(victim.name, true);
+          return Promise.resolve();
+        },
+        end: async () => {
+          await sleep(CUT_MS);
+          cluster.cut(victim.name, false);
+        },
+      };
+    case 'planned':
+      return {
+        begin: async () => {
+          const path = '/v1/packages/warm_standby/handover';
+          const reply = await victim.ask('POST', path, {}, 30_000);
+          // Without the package a planned restart is a kill.
+          if (reply?.status !== 200) await victim.kill();
+        },
+        end: async () => {
+          await victim.kill();
+          victim.start();
+        },
+      };
+  }
+}
+
+const statusOf = async (
+  c: ControllerProcess,
+): Promise<{ standby: Shown | null; holders: Map<string, string> } | null> => {
+  const reply = await c.ask('GET', '/v1/status');
+  if (reply?.status !== 200) return null;
+  const body = reply.body as {
+    slices: { slice: string; holder: string }[];
+    packages?: { warm_standby: Shown };
+  };
+  return {
+    standby: body.packages?.warm_standby ?? null,
+    holders: new Map(body.slices.map((s) => [s.slice, s.holder])),
+  };
+};
+
+async function isSettled(cluster: Cluster): Promise<boolean> {
+  for (const node of NODES) {
+    const status = await statusOf(cluster.controllers.get(node)!);
+    if (status === null || NODES.some((n) => status.holders.get(n) !== n)) return false;
+    if (status.standby?.slices.some((s) => s.role === 'standby' && s.warm !== true) === true) return false;
+  }
+  return true;
+}
+
+/** Live machines of the slice, as their records have it. */
+const workersOf = (cluster: Cluster, slice: string) =>
+  new Set(
+    cluster.fleet
+      .live()
+      .map((w) => w.name)
+      .filter((name) => sliceOf(cluster, name) === slice),
+  );
+
+const sliceOf = (cluster: Cluster, machine: string) =>
+  (cluster.state.rows.get(key.machine(machineName(machine)))?.value as { owner: string } | undefined)?.owner;
+
+const nothingYet = (of: Pick<Round, 'kind' | 'standby' | 'round' | 'workers'>): Round => ({
+  ...of,
+  holderMs: null,
+  firstReportMs: null,
+  firstStartMs: null,
+  allReportsMs: null,
+  usersLongestMs: 0,
+  cause: null,
+  warm: null,
+});
+
+async function playRound(
+  cluster: Cluster,
+  users: Users,
+  kind: Kind,
+  standby: 'on' | 'off',
+  round: number,
+): Promise<Round> {
+  const victim = cluster.controllers.get(NODES[round % NODES.length]!)!;
+  const slice = victim.name;
+  const missing = workersOf(cluster, slice);
+  const { epoch } = cluster.holderOf(slice)!;
+  const result = nothingYet({ kind, standby, round, workers: missing.size });
+  const start = performance.now();
+  const since = () => Math.round(performance.now() - start);
+  const mine = new Set(missing);
+  // Before the slice has its new holder other controllers only keep its workers: that is no takeover.
+  const isNewHolder = (node: string) => node !== slice && cluster.holderOf(slice)?.holder === node;
+  cluster.watch = {
+    answered: (worker, node, token) => {
+      if (!mine.has(worker.name) || token <= epoch || !isNewHolder(node)) return;
+      result.firstReportMs ??= since();
+      missing.delete(worker.name);
+      for (const name of missing) if (sliceOf(cluster, name) !== slice) missing.delete(name);
+      if (missing.size === 0) result.allReportsMs ??= since();
+    },
+    started: (worker) => {
+      if (mine.has(worker.name) && isNewHolder(worker.node)) result.firstStartMs ??= since();
+    },
+  };
+  const fault = faultOf(kind, victim, cluster);
+  await fault.begin();
+  const isMoved = () => cluster.holderOf(slice)?.holder !== slice;
+  const giveUp = kind === 'short-pause' ? NO_MOVE_MS : 40_000;
+  while (!isMoved() && since() < giveUp) await sleep(5);
+  if (isMoved()) {
+    result.holderMs = since();
+    const holder = cluster.controllers.get(cluster.holderOf(slice)!.holder)!;
+    while ((result.firstStartMs === null || result.allReportsMs === null) && since() < 30_000)
+      await sleep(10);
+    const takeover = (await statusOf(holder))?.standby?.takeovers.filter((t) => t.slice === slice).at(-1);
+    result.cause = takeover?.cause ?? null;
+    result.warm = takeover?.warm ?? null;
+  }
+  cluster.watch = null;
+  await fault.end();
+  await cluster.until('settled', () => isSettled(cluster), 120_000);
+  const waits = users.acceptedAfterMs.filter((a) => a.at >= start - 5000);
+  result.usersLongestMs = Math.round(Math.max(0, ...waits.map((a) => a.ms)));
+  return result;
+}
+
+/** Processor time in seconds and resident memory in MB of a process. */
+function costOf(pid: number): { cpuS: number; rssMb: number } {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+  const ticks = Number(stat[11]) + Number(stat[12]);
+  const pages = Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]);
+  return { cpuS: ticks / 100, rssMb: (pages * 4096) / 1e6 };
+}
+
+interface Arguments {
+  readonly kind: Kind | 'cost';
+  readonly runs: number;
+  readonly standby: 'on' | 'off';
+  readonly out: string;
+}
+
+async function measureCost(cluster: Cluster, o: Arguments, forS: number): Promise<void> {
+  const before = NODES.map((n) => costOf(cluster.controllers.get(n)!.pid));
+  await sleep(forS * 1000);
+  const after = NODES.map((n) => costOf(cluster.controllers.get(n)!.pid));
+  const shown = await Promise.all(NODES.map((n) => statusOf(cluster.controllers.get(n)!)));
+  const sent = shown.flatMap((s) =>
+    (s?.standby?.slices ?? []).flatMap((x) =>
+      (x.followers ?? []).map((f) => (f as { sentBytes?: number }).sentBytes ?? 0),
+    ),
+  );
+  const line = {
+    kind: 'cost',
+    standby: o.standby,
+    seconds: forS,
+    machines: cluster.fleet.live().length,
+    cpuPart: after.map((a, i) => Number(((a.cpuS - before[i]!.cpuS) / forS).toFixed(4))),
+    rssMb: after.map((a) => Math.round(a.rssMb)),
+    sentBytes: sent.reduce((sum, x) => sum + x, 0),
+    suspicions: shown.reduce((sum, s) => sum + (s?.standby?.counts.suspicions ?? 0), 0),
+    falseTakeovers: shown.reduce((sum, s) => sum + (s?.standby?.counts.falseTakeovers ?? 0), 0),
+  };
+  appendFileSync(o.out, `${JSON.stringify(line)}\n`);
+}
+
+async function main(): Promise<void> {
+  const program = new Command()
+    .requiredOption('--kind <kind>', `${KINDS.join(', ')} or cost`)
+    .option('--runs <n>', 'takeovers; for cost: seconds', Number, 30)
+    .requiredOption('--standby <on|off>')
+    .option('--out <file>', 'JSON lines are added to it', 'target/takeovers.jsonl')
+    .parse();
+  const o = program.opts<Arguments>();
+  const cluster = new Cluster(PER_ZONE);
+  const users = new Users(cluster);
+  try {
+    await cluster.start(OPERATOR[o.standby]);
+    await cluster.until('settled', () => isSettled(cluster));
+    void users.run(SUBMIT_EVERY_MS);
+    await cluster.until('work is under way', () => cluster.fleet.starts > 30);
+    if (o.kind === 'cost') await measureCost(cluster, o, o.runs);
+    else
+      for (let round = 0; round < o.runs; round++) {
+        const result = await playRound(cluster, users, o.kind, o.standby, round);
+        appendFileSync(o.out, `${JSON.stringify(result)}\n`);
+      }
+    users.stop();
+    await cluster.until('all jobs are over', () => users.open().length === 0, 180_000);
+    if (users.failed !== null) throw users.failed;
+  } finally {
+    users.stop();
+    await cluster.stop();
+  }
+}
+
+void main();
--- a/packages/warm-standby/src/slice-memory.ts
+++ b/packages/warm-standby/src/slice-memory.ts
@@ -2,6 +2,7 @@
  * The state that a decision log adds up to: what a snapshot holds, and what a standby has at a takeover. The holder and its
  * standbys keep it by the same code from the same entries.
  */
+import { dropOldest } from '../../../src/core/bounded.js';
 import type { JobId, MachineName } from '../../../src/core/types.js';
 import type { Hint } from '../../../src/packages/api.js';
 import type { LogEntry } from './entries.js';
@@ -54,7 +55,7 @@
         this.counts.left++;
         const { job, index, attempt } = entry.task;
         this.left.set(`${job}/${index}@${attempt}`, entry);
-        if (this.left.size > MOST_LEFT) this.left.delete(this.left.keys().next().value!);
+        dropOldest(this.left, MOST_LEFT);
         return;
       }
       case 'start':
--- /dev/null
+++ b/packages/warm-standby/test/fencing.test.ts
@@ -0,0 +1,128 @@
+/** What a takeover rests on: guarded transactions, and standbys that believe neither strangers nor former holders. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { key } from '../../../src/core/keys.js';
+import { nodeName, version, type NodeName } from '../../../src/core/types.js';
+import { SliceTransfer } from '../../../src/controller/slice-transfer.js';
+import type { SliceOutcome } from '../../../src/packages/api.js';
+import { ViewFacts } from '../../../src/packages/facts.js';
+import { all, begun, leads, wait } from '../../../test/sim/meeting.js';
+import type { Node } from '../../../test/sim/node.js';
+import type { Sim } from '../../../test/sim/run.js';
+import { TOPIC, decodeAcknowledgement, encodeAppend } from '../src/messages.js';
+import { holderOf, shown, standby } from './standbys.js';
+
+const transferOf = ({ controller }: Node) => new SliceTransfer(controller!.ctx, controller!.membership);
+const factOf = ({ controller }: Node, slice: NodeName) => new ViewFacts(controller!.ctx).slice(slice)!;
+
+/** Lets the run go on until the outcome is known. */
+async function outcomeOf(
+  sim: Sim,
+  node: Node,
+  work: () => Promise<SliceOutcome>,
+): Promise<SliceOutcome['kind']> {
+  const kinds: SliceOutcome['kind'][] = [];
+  node.clock.run(() => {
+    void work().then((o) => kinds.push(o.kind));
+  });
+  for (let i = 0; i < 100 && kinds.length === 0; i++) await wait(sim, 20);
+  assert.equal(kinds.length, 1);
+  return kinds[0]!;
+}
+
+async function threeNodes() {
+  const sim = await begun(3);
+  const [victim, taker] = all(sim).filter((n) => n !== leads(sim)) as [Node, Node];
+  return { sim, victim, taker, slice: nodeName(victim.name) };
+}
+
+test('a takeover gives the slice, ends the session and the leadership of the holder at one revision', async () => {
+  const sim = await begun(3);
+  const victim = leads(sim);
+  const taker = all(sim).find((n) => n !== victim)!;
+  const slice = nodeName(victim.name);
+  const fact = factOf(taker, slice);
+  victim.clock.pause();
+  const before = [...sim.state.rows.keys()].filter((k) => k === key.session(victim.name) || k === key.leader);
+  assert.equal(before.length, 2);
+  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(fact)), 'committed');
+  assert.equal(holderOf(sim, slice), taker.name);
+  assert.equal(sim.state.rows.has(key.session(victim.name)), false);
+  assert.notEqual((sim.state.rows.get(key.leader)?.value as { node: string } | undefined)?.node, victim.name);
+  victim.clock.resume();
+  await wait(sim, 8000);
+});
+
+test('a slice that has changed hands since it was looked at is not taken', async () => {
+  const { sim, victim, taker, slice } = await threeNodes();
+  const fact = factOf(taker, slice);
+  const other = leads(sim);
+  assert.equal(
+    await outcomeOf(sim, other, () => transferOf(other).takeOver(factOf(other, slice))),
+    'committed',
+  );
+  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(fact)), 'overtaken');
+  assert.notEqual(holderOf(sim, slice), taker.name);
+  assert.ok(victim.controller !== null);
+});
+
+test('a holder that is back in a new life meanwhile keeps its slice', async () => {
+  const { sim, victim, taker, slice } = await threeNodes();
+  const fact = factOf(taker, slice);
+  // The new life has written its session, and the taker's view does not know that yet.
+  taker.watchLagMs = 3000;
+  victim.crash();
+  victim.start();
+  for (let i = 0; i < 100 && holderOf(sim, slice) === victim.name; i++) {
+    const session = sim.state.rows.get(key.session(victim.name))?.value as
+      { incarnation?: string } | undefined;
+    if (session?.incarnation !== undefined && session.incarnation !== fact.incarnation) break;
+    await wait(sim, 10);
+  }
+  const sliceRow = sim.state.rows.get(key.slice(slice))!;
+  // As if the new life had not come to its slice yet: then only its session stands against the takeover.
+  const asSeen = { ...fact, epoch: version(sliceRow.rev) };
+  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(asSeen)), 'overtaken');
+  assert.equal(holderOf(sim, slice), victim.name);
+  taker.watchLagMs = 0;
+});
+
+test('a controller without a session takes nothing', async () => {
+  const { sim, taker, slice } = await threeNodes();
+  const fact = factOf(taker, slice);
+  taker.cut.add('state');
+  await wait(sim, 4000);
+  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(fact)), 'unavailable');
+  assert.notEqual(holderOf(sim, slice), taker.name);
+});
+
+test('a standby takes no messages from a stranger, nor from a former holder of the slice', async () => {
+  const domains = [
+    { name: 'one', networks: ['10.0.0.0/32', '10.0.0.2/32'] },
+    { name: 'two', networks: ['10.0.0.1/32'] },
+  ];
+  const sim = await begun(3, undefined, standby({ failure_domains: domains }));
+  const receiver = all(sim).find((n) => n !== leads(sim))!;
+  const slice = nodeName(all(sim).find((n) => n !== receiver)!.name);
+  const { epoch } = factOf(receiver, slice);
+  const send = async (from: string, of: typeof epoch) => {
+    const payload = encodeAppend({ node: slice, slice, epoch: of, first: 1, entries: [], head: 0 });
+    const reply = await receiver.controller!.channel.answer(TOPIC.append, payload, from);
+    return decodeAcknowledgement(reply!).status;
+  };
+  assert.equal(await send('10.9.9.9', epoch), 'refused');
+  assert.equal(await send('10.0.0.1', version(epoch - 1)), 'stale');
+  assert.notEqual(await send('::ffff:10.0.0.1', epoch), 'refused');
+  const reply = await receiver.controller!.channel.answer(
+    TOPIC.append,
+    new Uint8Array([1, 2, 3]),
+    '10.0.0.1',
+  );
+  assert.equal(decodeAcknowledgement(reply!).status, 'malformed');
+  assert.equal(
+    await receiver.controller!.channel.answer('another.topic', new Uint8Array([1]), '10.0.0.1'),
+    null,
+  );
+  const { rejectedMessages } = shown(receiver);
+  assert.ok(rejectedMessages['refused']! >= 1 && rejectedMessages['malformed']! >= 1);
+});
--- a/packages/warm-standby/test/loopback/cluster.ts
+++ b/packages/warm-standby/test/loopback/cluster.ts
@@ -3,6 +3,7 @@
  * cloud and workers. Controllers are killed, paused and cut off; what workers and users see is checked as in the seeded runs.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { mkdtempSync, openSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import net, { type AddressInfo } from 'node:net';
@@ -29,6 +30,9 @@
 const TICK_MS = 4;
 /** Longer than any client waits. */
 const NEVER_ANSWERED_MS = 60_000;
+/** Ports from which listening controllers get theirs. */
+const LOWEST_PORT = 12_000;
+const FIRST_OUTGOING_PORT = 30_000;
 /** Addresses for workers: a machine's name says which one is its own. */
 const WORKER_PORTS = 160;
 
@@ -37,11 +41,26 @@
   return (server.address() as AddressInfo).port;
 };
 
+/**
+ * A port that a controller can have again after a restart: below those that the system gives to outgoing connections, any of
+ * which may take a free one in between.
+ */
 async function freePort(host: string): Promise<number> {
-  const server = net.createServer();
-  const port = await listen(server, host);
-  await new Promise((r) => server.close(r));
-  return port;
+  for (;;) {
+    const port = randomInt(LOWEST_PORT, FIRST_OUTGOING_PORT);
+    const server = net.createServer();
+    const isFree = await new Promise<boolean>((resolve) => {
+      server.once('error', () => {
+        resolve(false);
+      });
+      server.listen(port, host, () => {
+        resolve(true);
+      });
+    });
+    if (!isFree) continue;
+    await new Promise((r) => server.close(r));
+    return port;
+  }
 }
 
 /** Answers JSON requests by `handle`; null: no answer at all. */
@@ -96,6 +115,8 @@
   private child: ChildProcess | null = null;
   /** It reaches nobody, and nobody reaches it. */
   isCut = false;
+  /** It has ended without being killed. */
+  hasEnded = false;
   client: HttpClient;
 
   constructor(
@@ -117,6 +138,10 @@
       stdio: ['ignore', log, log],
       env: { ...process.env, LOG_LEVEL: 'info' },
     });
+    const { child } = this;
+    child.once('exit', () => {
+      this.hasEnded ||= this.child === child;
+    });
   }
 
   kill(): Promise<void> {
@@ -233,6 +258,8 @@
     const end = performance.now() + mostMs;
     while (!(await isSo())) {
       if (this.failed !== null) throw this.failed;
+      for (const c of this.controllers.values())
+        if (c.hasEnded) throw new Error(`${c.name} has ended by itself; logs in ${this.directory}`);
       if (performance.now() > end)
         throw new Error(`not within ${mostMs} ms: ${what}; logs in ${this.directory}`);
       await new Promise((r) => setTimeout(r, 20));
--- a/src/controller/final-states.ts
+++ b/src/controller/final-states.ts
@@ -1,4 +1,5 @@
 /** Final states of jobs: kept by the state service for ever, remembered here within bounds. */
+import { dropOldest } from '../core/bounded.js';
 import type { FinalRecord, JobId, Revision } from '../core/types.js';
 import { key, parseKey } from '../core/keys.js';
 import { URGENCY } from '../io/rate-limiter.js';
@@ -40,11 +41,8 @@
   }
 
   private remember(id: JobId, final: FinalRecord): void {
-    if (this.known.size >= KEPT) {
-      const oldest = this.known.keys().next().value;
-      if (oldest !== undefined) this.known.delete(oldest);
-    }
     this.known.set(id, final);
+    dropOldest(this.known, KEPT);
   }
 
   /**
--- a/src/controller/health.ts
+++ b/src/controller/health.ts
@@ -10,6 +10,7 @@
   type Report,
   type Steady,
 } from '../core/types.js';
+import { dropOldest } from '../core/bounded.js';
 import { Failures, RUNS_WELL_MS } from '../core/failures.js';
 import type { Hint } from '../packages/api.js';
 import { bytesOf } from '../core/records.js';
@@ -24,13 +25,6 @@
 const PAUSE_AFTER_ERROR_MS = 60_000;
 const PAUSE_AFTER_REFUSAL_MS = 3000;
 
-/** Forgets the entry that was added first where there are more than so many. */
-function dropOldest<K>(map: Map<K, unknown>, most: number): void {
-  if (map.size <= most) return;
-  const oldest = map.keys().next().value;
-  if (oldest !== undefined) map.delete(oldest);
-}
-
 /** Remembers failures, caches and run times of machines and jobs. */
 export class Health {
   readonly failures: Failures;
@@ -72,9 +66,10 @@
       const k = taskKey(task.job, task.index, task.attempt);
       const since = before?.get(k);
       if (task.state === 'running') now.set(k, since ?? t);
-      if (task.state === 'running' && since !== undefined && t - since >= RUNS_WELL_MS)
-        this.failures.ranLong(task.job);
       const spec = this.ctx.view.jobs.get(task.job)?.spec;
+      // A late report of a job that is over teaches nothing: nobody would forget it again.
+      if (spec !== undefined && task.state === 'running' && since !== undefined && t - since >= RUNS_WELL_MS)
+        this.failures.ranLong(task.job);
       // A gang runs only as fast as its slowest machine, so its time says nothing about this one.
       if (task.why === 'done' && since !== undefined && spec?.kind === 'array')
         this.ran(r.machine, {
@@ -187,6 +182,10 @@
   /** A task left a machine; some reasons say something about one or the other. */
   exit(m: MachineRecord, placed: Placed, why: ExitWhy | null): void {
     const { job } = placed;
+    if (!this.ctx.view.jobs.has(job)) {
+      if (why === 'done') this.failures.forgetMachine(m.name);
+      return;
+    }
     if (why === 'done') this.failures.done(job, m.name);
     if (why === 'full' || why === 'in_use') this.pause(job, m.name, PAUSE_AFTER_REFUSAL_MS);
     if (why === 'error') this.pause(job, m.name, PAUSE_AFTER_ERROR_MS);
--- a/src/controller/leader/cloud-inventory.ts
+++ b/src/controller/leader/cloud-inventory.ts
@@ -8,12 +8,12 @@
 import type { Context } from '../context.js';
 import type { Membership } from '../membership.js';
 import type { LeaderTransactions } from './leader-transactions.js';
-import { newMachine } from './rentals.js';
+import { markForReturn, newMachine } from './rentals.js';
+import { longestListLagS } from './unknown-machines.js';
 import type { UnknownMachines } from './unknown-machines.js';
 
 const LIST_EVERY_MS = 4000;
-/** A list lags by up to so many times its usual lag; and so much longer a machine must be missing. */
-const LAG_TIMES = 2;
+/** A machine must be missing for so much longer than any list lags. */
 const GONE_MARGIN_S = 4;
 /** Prices move: the types are read again with every so many lists. */
 const TYPES_EVERY = 8;
@@ -81,15 +81,13 @@
         this.unknown.noteListed(l);
       } else if (l.state === 'failed' && machine.phase !== 'releasing') {
         ctx.log.info({ machine: l.name }, 'failed');
-        const value: MachineRecord = { ...machine, phase: 'releasing' };
-        failed.push({ key: key.machine(l.name), value, reason: 'return' });
+        failed.push(markForReturn(machine));
       }
     }
     this.unknown.keepListed(withoutRecord);
     for (const machine of this.takenBack(list, askedAt)) {
       ctx.log.info({ machine: machine.name }, 'not listed any more');
-      const value: MachineRecord = { ...machine, phase: 'releasing' };
-      failed.push({ key: key.machine(machine.name), value, reason: 'return' });
+      failed.push(markForReturn(machine));
     }
     if (failed.length > 0) await this.transactions.commitEach(failed, URGENCY.starts);
     if (this.unknown.size > 0) this.found();
@@ -104,7 +102,7 @@
     const { view, clock, settings } = this.ctx;
     const now = clock.now();
     for (const l of list) if (view.machines.has(l.name)) this.listedAt.set(l.name, now);
-    const goneMs = (LAG_TIMES * settings.cloudLimits.list_lag_s + GONE_MARGIN_S) * 1000;
+    const goneMs = (longestListLagS(settings) + GONE_MARGIN_S) * 1000;
     const gone: MachineRecord[] = [];
     for (const [name, at] of this.listedAt) {
       const machine = view.machines.get(name);
--- a/src/controller/leader/leader.ts
+++ b/src/controller/leader/leader.ts
@@ -22,7 +22,7 @@
 import { CloudInventory } from './cloud-inventory.js';
 import { FleetPlanner } from './fleet-planner.js';
 import { LeaderTransactions } from './leader-transactions.js';
-import { Rentals } from './rentals.js';
+import { Rentals, markForReturn } from './rentals.js';
 import { StrayedMachines } from './strayed-machines.js';
 import { UnknownMachines } from './unknown-machines.js';
 
@@ -163,8 +163,7 @@
     for (const machine of plan.releases) {
       const { name, phase } = machine;
       ctx.log.info({ machine: name, phase, ageS: this.planner.ageS(machine) }, 'to be returned');
-      const value: MachineRecord = { ...machine, phase: 'releasing' };
-      ops.push({ key: key.machine(name), value, reason: 'return' });
+      ops.push(markForReturn(machine));
     }
     if (ops.length > 0) await this.transactions.commitEach(ops, URGENCY.starts);
     this.rentals.start(plan.rentals, slices);
--- a/src/controller/leader/rentals.ts
+++ b/src/controller/leader/rentals.ts
@@ -15,6 +15,7 @@
 import type { CloudClient } from '../../io/cloud.js';
 import { URGENCY } from '../../io/rate-limiter.js';
 import type { Group } from '../../io/state/transactions.js';
+import type { Op } from '../../io/wire.js';
 import type { Context } from '../context.js';
 import type { LeaderTransactions } from './leader-transactions.js';
 import type { UnknownMachine } from './unknown-machines.js';
@@ -45,6 +46,12 @@
   since: ctx.clock.wall(),
 });
 
+/** The change that has a machine returned to the cloud; only the cloud's answer to that frees its tasks. */
+export function markForReturn(machine: MachineRecord): Op {
+  const value: MachineRecord = { ...machine, phase: 'releasing' };
+  return { key: key.machine(machine.name), value, reason: 'return' };
+}
+
 /** Rents machines and records them, whoever decided the rental. */
 export class Rentals {
   private readonly refusedUntil = new Map<string, Steady>();
--- a/src/controller/leader/unknown-machines.ts
+++ b/src/controller/leader/unknown-machines.ts
@@ -2,6 +2,7 @@
  * Machines that no record knows: workers that report, and machines that the cloud lists. One report may be a late copy
  * from a machine that was returned long ago, and the list lags, so that either is believed only after a while.
  */
+import type { Settings } from '../../config/settings.js';
 import { newer } from '../../core/worker-reports.js';
 import type { MachineName, Report, Steady, TypeName, Zone } from '../../core/types.js';
 import type { ListedMachine } from '../../io/wire.js';
@@ -23,10 +24,15 @@
 const MOST_REPORTERS = 20_000;
 /** A machine that was returned may be listed, and late copies of its reports may come, for so long. */
 const RELEASED_MEMORY_MS = 120_000;
-/** The list lags by up to twice its usual lag; and so long the record of a rental may take. */
+/** The list lags by up to so many times its usual lag. */
 const LAG_TIMES = 2;
+/** So long the record of a rental may take. */
 const RECORD_S = 3;
 
+/** How old the cloud's list may be. */
+export const longestListLagS = ({ cloudLimits }: Pick<Settings, 'cloudLimits'>): number =>
+  LAG_TIMES * cloudLimits.list_lag_s;
+
 /** Collects machines without a record until they are surely there. */
 export class UnknownMachines {
   private readonly confirmed = new Map<MachineName, UnknownMachine>();
@@ -94,7 +100,7 @@
     if (this.released.has(l.name)) return;
     const now = this.ctx.clock.now();
     const since = this.listedSince.get(l.name);
-    const lagS = LAG_TIMES * this.ctx.settings.cloudLimits.list_lag_s + RECORD_S;
+    const lagS = longestListLagS(this.ctx.settings) + RECORD_S;
     if (since === undefined) this.listedSince.set(l.name, now);
     else if (now - since > lagS * 1000)
       this.confirmed.set(l.name, { type: l.type, zone: l.zone, spot: l.spot, token: 0 });
--- a/src/controller/membership.ts
+++ b/src/controller/membership.ts
@@ -108,9 +108,6 @@
     const mine = this.mine;
     const isOwn = mine?.lease === lease && mine.incarnation === ctx.incarnation;
     if (isOwn && (mine.draining === true) === this.isDraining) return;
-    // A session under this node's name that is not this process's is its predecessor's: the platform runs
-    // one process per node, so it can be ended without waiting for its lease.
-    if (!isOwn && mine !== undefined) await ctx.state.revoke(mine.lease);
     await ctx.follower.fresh();
     const value: SessionRecord = {
       node: ctx.settings.node,
@@ -119,7 +116,11 @@
       zone: ctx.settings.zone,
       ...(this.isDraining ? { draining: true } : {}),
     };
-    await this.put(key.session(ctx.settings.node), value);
+    const isWritten = await this.put(key.session(ctx.settings.node), value);
+    // A session under this node's name that is not this process's is its predecessor's: the platform runs one process per
+    // node, so it can be ended without waiting for its lease. Only once it is replaced: were there no session for a
+    // moment, the leader would give the slice away, and a plain restart would cost two changes of holder.
+    if (isWritten && !isOwn && mine !== undefined) await ctx.state.revoke(mine.lease);
   }
 
   /** The slice of this node, where nobody holds it or its predecessor did, is taken at once. */
--- a/src/controller/owner/unreachable.ts
+++ b/src/controller/owner/unreachable.ts
@@ -12,7 +12,7 @@
 /** Delays of the network and of busy processes, beside one hop and beside several. */
 const SLACK_MS = 1500;
 const LONG_SLACK_MS = 3000;
-/** ReportRouter come every `report_s`, give or take a quarter. */
+/** Reports come every `report_s`, give or take a quarter. */
 const LATEST_REPORT = 1.25;
 /** Heard within so many report intervals, a machine counts as there. */
 export const HEARD_INTERVALS = 2;
--- a/src/controller/substitute-list.ts
+++ b/src/controller/substitute-list.ts
@@ -28,14 +28,19 @@
     const parts = partsWithin([...names].sort(), this.ctx.state.settings.valueBytes - RECORD_BYTES);
     const last = Math.max(parts.length, this.written.length);
     for (let part = 0; part < last; part++) await this.publishPart(part, parts[part] ?? [], lease);
-    while (this.written.length > parts.length) this.written.pop();
+    // A record whose removal was refused stands until its lease ends: it is removed with the next list.
+    while (this.written.length > parts.length && this.isGone(this.written.length - 1)) this.written.pop();
+  }
+
+  private isGone(part: number): boolean {
+    return this.ctx.view.versionOf(key.substitutes(this.ctx.settings.node, part)) === 0;
   }
 
   private async publishPart(part: number, machines: readonly MachineName[], lease: number): Promise<void> {
     const { ctx } = this;
     const text = `${lease} ${machines.join(' ')}`;
     const k = key.substitutes(ctx.settings.node, part);
-    if (text === this.written[part] || (machines.length === 0 && ctx.view.versionOf(k) === 0)) return;
+    if (text === this.written[part] || (machines.length === 0 && this.isGone(part))) return;
     const value: SubstitutesRecord | undefined = machines.length === 0 ? undefined : { machines, lease };
     const op: Op = { key: k, value, reason: 'machine_state', ...(value === undefined ? {} : { lease }) };
     const result = await ctx.state.txn([ctx.guard(k)], [op], URGENCY.users);
--- a/src/core/slowness.ts
+++ b/src/core/slowness.ts
@@ -3,6 +3,7 @@
  * compared with the other runs of its job; where those are too few, with what is usual for its class: the ratio of
  * run time to estimate, against the class's median.
  */
+import { dropOldest } from './bounded.js';
 import type { JobId, MachineName } from './types.js';
 
 /** When a machine counts as slow. */
@@ -45,7 +46,7 @@
     const peers = this.jobs.get(run.job) ?? [];
     this.jobs.delete(run.job);
     this.jobs.set(run.job, [...peers, run.tookS].slice(-KEPT));
-    if (this.jobs.size > JOBS_KEPT) this.jobs.delete(this.jobs.keys().next().value!);
+    dropOldest(this.jobs, JOBS_KEPT);
     const own = this.machines.get(machine) ?? [];
     this.machines.set(machine, [...own, run].slice(-this.options.runs));
   }
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -4,7 +4,7 @@
 import { readOperator } from '../src/config/operator.js';
 import type { Context } from '../src/controller/context.js';
 import { Health } from '../src/controller/health.js';
-import { jobId, version, type Report } from '../src/core/types.js';
+import { jobId, version, type Placed, type Report } from '../src/core/types.js';
 import { key } from '../src/core/keys.js';
 import { View } from '../src/core/view.js';
 import { jobFromWire, reportFromWire } from '../src/io/wire.js';
@@ -39,6 +39,16 @@
     shards: tasks.map(([id, standing]) => ({ shard: `${id}/0`, tryNo: 1, standing })),
   })!;
 
+test('a late report about a job that is over leaves nothing behind', () => {
+  const health = setUp(100, []);
+  const gone = { job: jobId('wk-over') } as Placed;
+  // Two machines on which it fails would say that it is the job.
+  for (const m of [record, machine('n-2', [])]) health.exit(m, gone, 'error');
+  assert.equal(health.failures.failuresOf(gone.job), null);
+  assert.deepEqual([...health.failures.blamed()], []);
+  assert.equal(health.failures.isFaulty(record.name), false);
+});
+
 test('a machine goes to its next owner with what is known of its images, within the size of its cache', () => {
   const jobs: [string, string, number][] = [
     ['wk-1', 'img-a', 40],
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -155,6 +155,7 @@
 test('however many machines are answered for others, all are written down, within the limit for a value', async () => {
   const view = new View();
   let rev = 10;
+  let refuses = false;
   const ctx = {
     view,
     settings: { node: nodeName('c-1') },
@@ -163,6 +164,7 @@
     state: {
       settings: { valueBytes: 2048 },
       txn: (_guards: readonly Guard[], ops: readonly Op[]) => {
+        if (refuses) return Promise.resolve({ kind: 'refused' });
         rev++;
         for (const { key: k, value } of ops) {
           assert.ok(value === undefined || bytesOf(value) <= 2048);
@@ -187,6 +189,11 @@
   const before = rev;
   await list.publish(names, 3);
   assert.equal(rev, before, 'nothing is written where nothing has changed');
+  // Refused removals are not forgotten: those machines would count as answered here until the lease ends.
+  refuses = true;
+  await list.publish(names.slice(0, 3), 3);
+  assert.deepEqual(written(), names);
+  refuses = false;
   await list.publish(names.slice(0, 3), 3);
   assert.deepEqual(written(), names.slice(0, 3));
   await list.publish([], 3);
--- a/test/sim/node.ts
+++ b/test/sim/node.ts
@@ -20,6 +20,9 @@
 
 export const asError = (e: unknown): Error => (e instanceof Error ? e : new Error('failed', { cause: e }));
 
+/** The address at which the other controllers know a controller. */
+const ipOf = (name: string) => `10.0.0.${NODES.indexOf(name)}`;
+
 /** What lies between a controller and the others, in virtual time and shorter than in operation. */
 const OPERATOR =
   '[placement]\nbehind_s = 20\n[fleet]\nidle_boot_factor = 2\nrefused_s = 2\n[sessions]\nttl_s = 2\nrenew_every_s = 0.5\n[slices]\nsettled_s = 2\n';
@@ -83,11 +86,11 @@
       node: nodeName(this.name),
       zone: zoneName(this.zone),
       bind: '',
-      peerBind: '',
+      peerBind: `${ipOf(this.name)}:1`,
       peers: NODES.filter((n) => n !== this.name).map((n) => ({
         node: nodeName(n),
         zone: zoneName(ZONES[NODES.indexOf(n) % ZONES.length]!),
-        address: '',
+        address: `${ipOf(n)}:1`,
       })),
       cloud: '',
       state: '',
@@ -285,7 +288,9 @@
       cancel: (job, ms) =>
         this.across(clock, name, ms, 3, (c) => Promise.resolve(c.jobs.takeCancel(jobId(job)))),
       ask: (topic, payload, ms) =>
-        this.across(clock, name, ms, delay(), (c) => c.channel.answer(topic, payload.slice(), this.name)),
+        this.across(clock, name, ms, delay(), (c) =>
+          c.channel.answer(topic, payload.slice(), ipOf(this.name)),
+        ),
     };
   }
 }
