--- a/packages/warm-standby/measure/takeovers.ts
+++ b/packages/warm-standby/measure/takeovers.ts
@@ -5,6 +5,7 @@
  *     npm run --silent measure:takeovers -- --kind kill --runs 30 --standby on
  */
 import { appendFileSync, readFileSync } from 'node:fs';
+import path from 'node:path';
 import { Command } from 'commander';
 import { Cluster, NODES, type ControllerProcess } from '../test/loopback/cluster.js';
 import { Users, sleep } from '../test/loopback/users.js';
@@ -211,6 +212,8 @@
   readonly runs: number;
   readonly standby: 'on' | 'off';
   readonly out: string;
+  /** With every job traced to a file. */
+  readonly traced: boolean;
 }
 
 async function measureCost(cluster: Cluster, o: Arguments, forS: number): Promise<void> {
@@ -226,6 +229,7 @@
   const line = {
     kind: 'cost',
     standby: o.standby,
+    traced: o.traced,
     seconds: forS,
     machines: cluster.fleet.live().length,
     cpuPart: after.map((a, i) => Number(((a.cpuS - before[i]!.cpuS) / forS).toFixed(4))),
@@ -242,13 +246,16 @@
     .requiredOption('--kind <kind>', `${KINDS.join(', ')} or cost`)
     .option('--runs <n>', 'takeovers; for cost: seconds', Number, 30)
     .requiredOption('--standby <on|off>')
+    .option('--traced', 'every job is traced to a file', false)
     .option('--out <file>', 'JSON lines are added to it', 'target/takeovers.jsonl')
     .parse();
   const o = program.opts<Arguments>();
   const cluster = new Cluster(PER_ZONE);
   const users = new Users(cluster);
   try {
-    await cluster.start(OPERATOR[o.standby]);
+    const file = path.join(cluster.directory, 'spans.jsonl');
+    const tracing = `[packages.tracing]\nfile = "${file}"\nsample_ratio = 1.0\n`;
+    await cluster.start(OPERATOR[o.standby] + (o.traced ? tracing : ''));
     await cluster.until('settled', () => isSettled(cluster));
     void users.run(SUBMIT_EVERY_MS);
     await cluster.until('work is under way', () => cluster.fleet.starts > 30);
