Warm standby: strangers' slices, stale handovers and own former lives; a new epoch keeps what was learned

Found by reading the whole change: messages about slices that no controller has grew the map of replicas; an accepted handover that never came named a later takeover; a restarted controller showed a takeover from itself; a slice record written anew while its holder stays began an empty log.

--- a/packages/warm-standby/src/cluster.ts
+++ b/packages/warm-standby/src/cluster.ts
@@ -22,6 +22,11 @@
     return placeStandbys({ slice, holder, candidates, domainOf: this.domainOf, degree: this.degree });
   }
 
+  /** Whether the settings name a controller, and so a slice, like this. */
+  isController(name: NodeName): boolean {
+    return this.domainOf.has(name);
+  }
+
   /** Slices that this process holds and knows all about. */
   heldSlices(): SliceFact[] {
     const { facts, incarnation } = this.service;
--- a/packages/warm-standby/src/options.ts
+++ b/packages/warm-standby/src/options.ts
@@ -8,7 +8,7 @@
 /** What the section may hold, with its defaults. */
 export const OptionsSchema = Type.Object(
   {
-    /** Standbys of each slice; 0 turns following off and leaves planned handover. */
+    /** Standbys of each slice; 0: none, and nothing to hand over to. */
     degree: Type.Integer({ minimum: 0, default: 1 }),
     /** Named groups of controllers that may fail together; without any, the zones of the platform's settings. */
     failure_domains: Type.Array(
--- a/packages/warm-standby/src/placement.ts
+++ b/packages/warm-standby/src/placement.ts
@@ -15,8 +15,18 @@
   readonly degree: number;
 }
 
-const weightOf = (slice: NodeName, node: NodeName): string =>
-  createHash('sha256').update(`${slice}\n${node}`).digest('hex');
+/** Weights are asked for many times a second, and there is one for each pair of controllers. */
+const weights = new Map<string, string>();
+
+function weightOf(slice: NodeName, node: NodeName): string {
+  const pair = `${slice}\n${node}`;
+  let weight = weights.get(pair);
+  if (weight === undefined) {
+    weight = createHash('sha256').update(pair).digest('hex');
+    weights.set(pair, weight);
+  }
+  return weight;
+}
 
 /**
  * The standbys of a slice, the first in order first. None of them is in the holder's failure domain, and as long as there
--- a/packages/warm-standby/src/publisher.ts
+++ b/packages/warm-standby/src/publisher.ts
@@ -158,6 +158,8 @@
     let published = this.slices.get(slice.slice);
     if (published?.log.epoch !== slice.epoch) {
       const log = new DecisionLog(slice.slice, slice.epoch, this.options.tail_entries);
+      // The record may be written anew while the holder stays: what was learned goes on under the new epoch.
+      for (const entry of published?.log.memory.entries() ?? []) log.append(entry);
       published = { log, followers: new Map() };
       this.slices.set(slice.slice, published);
     }
--- a/packages/warm-standby/src/receiver.ts
+++ b/packages/warm-standby/src/receiver.ts
@@ -83,6 +83,8 @@
     if (!this.cluster.domains.accepts(from)) return this.reject('refused');
     try {
       const message = decode(bytes);
+      if (!this.cluster.isController(message.node) || !this.cluster.isController(message.slice))
+        return this.reject('refused');
       const fact = this.service.facts.slice(message.slice);
       // A view that is behind does not know the sender's epoch yet: it is not the message that is old then.
       if (fact !== null && message.epoch < fact.epoch) return this.reject('stale');
--- a/packages/warm-standby/src/takeover.ts
+++ b/packages/warm-standby/src/takeover.ts
@@ -19,6 +19,8 @@
 const STEP_MS = 100;
 /** Pause after a probe that did not lead to a takeover. */
 const PROBE_AGAIN_MS = 300;
+/** A handover that was accepted and has not come after so long was given up. */
+const PREPARED_MS = 30_000;
 /** Nothing is taken while the state service was out of reach within this time. */
 const STATE_FRESH_MS = 1000;
 
@@ -49,7 +51,8 @@
   private readonly backoffs = new Map<NodeName, Backoff>();
   /** The slices as they were when last looked at, to notice that one has come here. */
   private readonly known = new Map<NodeName, SliceFact>();
-  private readonly prepared = new Map<NodeName, string>();
+  /** Planned handovers that were accepted, and have not come yet. */
+  private readonly prepared = new Map<NodeName, { readonly traceParent: string; readonly until: number }>();
 
   constructor(
     private readonly service: Service,
@@ -78,7 +81,7 @@
 
   /** A planned handover of the slice to this controller was accepted. */
   expect(slice: NodeName, traceParent: string): void {
-    this.prepared.set(slice, traceParent);
+    this.prepared.set(slice, { traceParent, until: this.service.clock.now() + PREPARED_MS });
   }
 
   backoffOf(slice: NodeName): Backoff {
@@ -188,13 +191,14 @@
 
   /** Slices that have come to this controller, whoever gave them. */
   private noteSlices(): void {
-    const { facts, incarnation } = this.service;
+    const { facts, incarnation, node } = this.service;
     for (const fact of facts.slices()) {
       const before = this.known.get(fact.slice);
       if (before?.epoch === fact.epoch) continue;
       this.known.set(fact.slice, fact);
-      if (before !== undefined && fact.incarnation === incarnation && before.incarnation !== incarnation)
-        this.begin(fact, before);
+      // What its own former life held has not come from another controller.
+      const cameHere = before !== undefined && fact.incarnation === incarnation && before.holder !== node;
+      if (cameHere) this.begin(fact, before);
     }
   }
 
@@ -222,10 +226,17 @@
     this.prepared.delete(slice);
   }
 
+  /** Where the span of the handover belongs that was accepted for the slice, if one was. */
+  private handoverTraceOf(slice: NodeName): string | undefined {
+    const prepared = this.prepared.get(slice);
+    const isDue = prepared !== undefined && this.service.clock.now() < prepared.until;
+    return isDue ? prepared.traceParent : undefined;
+  }
+
   private describe(fact: SliceFact, before: SliceFact, memory: SliceMemory | null): Takeover {
     const { clock, facts, tracer } = this.service;
     const { slice } = fact;
-    const handoverTrace = this.prepared.get(slice);
+    const handoverTrace = this.handoverTraceOf(slice);
     const suspicion = handoverTrace === undefined ? this.suspicionOf(slice, before) : null;
     const cause = handoverTrace !== undefined ? 'handover' : suspicion !== null ? 'suspicion' : 'assigned';
     return {
