Read once more: one reader of answers, one rule of doubt, cheap checks first, what nobody read

From reading the whole change; behaviour stays.

- Twins: answers that cannot be read were caught in three places (readAnswer now); whether a holder is out of reach was decided in two (doubtOf); host and port were taken apart in three (splitAddress); tests waited for a controller's answer by loops of their own beside 'answered', and made jobs in three places (newJob).
- Hot path: the standbys of every slice were worked out ten times a second, now only those of a slice whose holder is suspect.
- Dead: counts of decisions and of messages, isFirst of a heard worker, and three committed facts that no package asks for.
- The command line looked whether a message began with the file's path already; the file is now read outside of where the path is added.

--- a/packages/tracing/test/tracing.test.ts
+++ b/packages/tracing/test/tracing.test.ts
@@ -52,7 +52,6 @@
 const task = { job, index: 2, attempt: attempt(5), machine };
 const reportOf = (tasks: readonly { state: 'fetching' }[]): ServiceEvent => ({
   kind: 'worker_heard',
-  isFirst: false,
   report: {
     machine,
     address: 'a:1',
--- a/packages/warm-standby/src/entries.ts
+++ b/packages/warm-standby/src/entries.ts
@@ -1,22 +1,17 @@
 /** What the decision log holds: decisions of a slice's holder, and what it has learned and not written down yet. */
 import type { ServiceEvent, TaskOnMachine } from '../../../src/core/events.js';
 import type { Run } from '../../../src/core/slowness.js';
-import type { Attempt, ExitWhy, JobId, MachineName, Token, WallMs } from '../../../src/core/types.js';
+import type { Attempt, ExitWhy, JobId, MachineName, WallMs } from '../../../src/core/types.js';
+import type { Hint } from '../../../src/packages/api.js';
+
+type WorkerHint = Extract<Hint, { kind: 'worker' }>;
 
 /** One entry. Times are times of day: steady clocks of two controllers have nothing in common. */
 export type LogEntry =
   | { readonly kind: 'start' | 'stop' | 'preempt'; readonly task: TaskOnMachine }
   /** A task has left its machine; its result may not be written yet. */
   | { readonly kind: 'left'; readonly task: TaskOnMachine; readonly why: ExitWhy | 'absent' }
-  | {
-      readonly kind: 'worker';
-      readonly machine: MachineName;
-      readonly address: string;
-      readonly session: number;
-      readonly seq: number;
-      readonly token: Token;
-      readonly heardAt: WallMs;
-    }
+  | (WorkerHint & { readonly heardAt: WallMs })
   | {
       readonly kind: 'job_failing';
       readonly job: JobId;
--- a/packages/warm-standby/src/failure-domains.ts
+++ b/packages/warm-standby/src/failure-domains.ts
@@ -4,6 +4,7 @@
  */
 import ipaddr from 'ipaddr.js';
 import type { Settings } from '../../../src/config/settings.js';
+import { splitAddress } from '../../../src/core/address.js';
 
 type Address = ipaddr.IPv4 | ipaddr.IPv6;
 
@@ -92,8 +93,6 @@
   }
 }
 
-const hostOf = (address: string): string => address.slice(0, address.lastIndexOf(':'));
-
 /** The domain of each controller by name. Throws `DomainError` where networks are given and one is in none. */
 export function domainsOfControllers(
   domains: FailureDomains,
@@ -102,9 +101,9 @@
   const own = { node: settings.node, zone: settings.zone, address: settings.peerBind };
   const out = new Map<string, string>();
   for (const { node, zone, address } of [own, ...settings.peers]) {
-    const domain = domains.hasNetworks ? domains.domainOf(hostOf(address)) : zone;
-    if (domain === null)
-      throw new DomainError(`failure_domains: ${hostOf(address)} of ${node} is in none of them`);
+    const [host] = splitAddress(address);
+    const domain = domains.hasNetworks ? domains.domainOf(host) : zone;
+    if (domain === null) throw new DomainError(`failure_domains: ${host} of ${node} is in none of them`);
     out.set(node, domain);
   }
   return out;
--- a/packages/warm-standby/src/handover.ts
+++ b/packages/warm-standby/src/handover.ts
@@ -4,7 +4,7 @@
 import type { NodeName } from '../../../src/core/types.js';
 import type { CommandReply, Service, SliceFact } from '../../../src/packages/api.js';
 import type { Cluster } from './cluster.js';
-import { MessageError, TOPIC, decodePrepareAnswer, encodePrepare } from './messages.js';
+import { TOPIC, decodePrepareAnswer, encodePrepare, readAnswer } from './messages.js';
 import type { Options } from './options.js';
 import type { Publisher } from './publisher.js';
 
@@ -99,13 +99,9 @@
       this.options.replication.answer_ms,
     );
     if (reply === null) return 'does not answer';
-    try {
-      const { accepted, reason } = decodePrepareAnswer(reply);
-      return accepted ? null : reason;
-    } catch (e) {
-      if (e instanceof MessageError) return 'gave an answer that cannot be read';
-      throw e;
-    }
+    const answer = readAnswer(decodePrepareAnswer, reply);
+    if (answer === null) return 'gave an answer that cannot be read';
+    return answer.accepted ? null : answer.reason;
   }
 
   private async commit(
--- a/packages/warm-standby/src/messages.ts
+++ b/packages/warm-standby/src/messages.ts
@@ -220,15 +220,7 @@
       return { kind: 'left', task: taskFrom(e.left!), why: (e.left!.why ?? 'absent') as ExitWhy | 'absent' };
     case 'worker': {
       const { machine, address, session, seq, token, heardAt } = e.worker!;
-      return {
-        kind: 'worker',
-        machine,
-        address,
-        session,
-        seq,
-        token: token,
-        heardAt: heardAt,
-      };
+      return { kind: 'worker', machine, address, session, seq, token, heardAt };
     }
     case 'failing': {
       const { job, rounds, why, machines, retryAt } = e.failing!;
@@ -260,6 +252,17 @@
   return fields;
 }
 
+/** Reads an answer; one that did not come or can't be read is null. */
+export function readAnswer<T>(decodeAnswer: (bytes: Uint8Array) => T, bytes: Uint8Array | null): T | null {
+  if (bytes === null) return null;
+  try {
+    return decodeAnswer(bytes);
+  } catch (e) {
+    if (e instanceof MessageError) return null;
+    throw e;
+  }
+}
+
 /** A whole number from 0 on. */
 function whole(value: number, name: string): number {
   if (!Number.isSafeInteger(value) || value < 0) throw new MessageError('malformed', `${name}: ${value}`);
--- a/packages/warm-standby/src/publisher.ts
+++ b/packages/warm-standby/src/publisher.ts
@@ -9,12 +9,12 @@
 import { DecisionLog } from './decision-log.js';
 import { entryOf, type LogEntry, type Recorded } from './entries.js';
 import {
-  MessageError,
   TOPIC,
   decodeAcknowledgement,
   encodeAppend,
   encodeSnapshot,
   entrySize,
+  readAnswer,
   type Acknowledgement,
 } from './messages.js';
 import type { Options } from './options.js';
@@ -99,9 +99,8 @@
 /** Sends decision logs to standbys. */
 export class Publisher {
   readonly slices = new Map<NodeName, PublishedSlice>();
-  /** Bytes of messages sent, and messages, since the start. */
+  /** Bytes of messages sent, and snapshots, since the start. */
   bytesSent = 0;
-  messagesSent = 0;
   snapshotsSent = 0;
   private prunedAt = Number.NEGATIVE_INFINITY;
 
@@ -255,23 +254,12 @@
     payload: Uint8Array,
   ): Promise<Acknowledgement | null> {
     const { channel, clock } = this.service;
-    this.messagesSent++;
     this.bytesSent += payload.length;
     follower.bytesSent += payload.length;
     follower.budget.spend(payload.length);
     const reply = await channel.ask(follower.node, topic, payload, this.options.answer_ms);
-    const answer = reply === null ? null : acknowledgementFrom(reply);
+    const answer = readAnswer(decodeAcknowledgement, reply);
     follower.note(answer, clock.now());
     return answer;
   }
 }
-
-/** An answer that can't be read counts as none. */
-function acknowledgementFrom(reply: Uint8Array): Acknowledgement | null {
-  try {
-    return decodeAcknowledgement(reply);
-  } catch (e) {
-    if (e instanceof MessageError) return null;
-    throw e;
-  }
-}
--- a/packages/warm-standby/src/slice-memory.ts
+++ b/packages/warm-standby/src/slice-memory.ts
@@ -23,17 +23,8 @@
   readonly hasJob: (job: JobId) => boolean;
 }
 
-/** How many decisions of each kind were followed. */
-export interface DecisionCounts {
-  start: number;
-  stop: number;
-  preempt: number;
-  left: number;
-}
-
 /** What one slice's log says up to some entry. */
 export class SliceMemory {
-  readonly counts: DecisionCounts = { start: 0, stop: 0, preempt: 0, left: 0 };
   private readonly workers = new Map<MachineName, WorkerEntry>();
   private readonly failing = new Map<JobId, FailingEntry>();
   private readonly left = new Map<string, LeftEntry>();
@@ -52,7 +43,6 @@
         if (this.runs.length > 2 * MOST_RUNS) this.runs = this.runs.slice(-MOST_RUNS);
         return;
       case 'left': {
-        this.counts.left++;
         const { job, index, attempt } = entry.task;
         this.left.set(`${job}/${index}@${attempt}`, entry);
         dropOldest(this.left, MOST_LEFT);
@@ -61,7 +51,7 @@
       case 'start':
       case 'stop':
       case 'preempt':
-        this.counts[entry.kind]++;
+      // Followed for their order only: what runs where is read from the state service.
     }
   }
 
@@ -73,7 +63,7 @@
     this.runs = this.runs.slice(-MOST_RUNS).filter(({ machine }) => hasMachine(machine));
   }
 
-  /** Entries from which the same state is made, apart from the counts. */
+  /** Entries from which the same state is made. */
   entries(): LogEntry[] {
     return [...this.workers.values(), ...this.failing.values(), ...this.left.values(), ...this.runs];
   }
--- a/packages/warm-standby/src/takeover-policy.ts
+++ b/packages/warm-standby/src/takeover-policy.ts
@@ -45,12 +45,17 @@
 
 const wait = (why: Reluctance): TakeoverDecision => ({ kind: 'wait', why });
 
-/** Whether the holder is out of reach of all who were asked, by enough of them. */
-export function isConfirmed(
+/**
+ * Why the holder is not confirmed to be out of reach, or null where it is: nobody who was asked reaches it, and enough of
+ * them said so. A cut between two controllers must not be taken for the death of one of them.
+ */
+export function doubtOf(
   input: Pick<TakeoverInput, 'holderAnswers' | 'witnesses' | 'witnessesNeeded'>,
-): boolean {
-  if (input.holderAnswers || input.witnesses.some((w) => w.reaches === true)) return false;
-  return input.witnesses.filter((w) => w.reaches === false).length >= input.witnessesNeeded;
+): Reluctance | null {
+  if (input.holderAnswers) return 'holder_answers';
+  if (input.witnesses.some((w) => w.reaches === true)) return 'holder_reached_by_another';
+  const confirming = input.witnesses.filter((w) => w.reaches === false).length;
+  return confirming < input.witnessesNeeded ? 'no_witness' : null;
 }
 
 /** Whether another warm standby of the slice should go first: it has applied more, or as much and is before this one. */
@@ -59,11 +64,10 @@
   return rank > 0 ? 'not_first' : null;
 }
 
-/** Whether to take the slice now. A cut between two controllers must not be taken for the death of one of them. */
+/** Whether to take the slice now. */
 export function decideTakeover(input: TakeoverInput): TakeoverDecision {
-  if (input.holderAnswers) return wait('holder_answers');
-  if (input.witnesses.some((w) => w.reaches === true)) return wait('holder_reached_by_another');
-  if (!isConfirmed(input)) return wait('no_witness');
+  const doubt = doubtOf(input);
+  if (doubt !== null) return wait(doubt);
   if (!input.isStateReachable) return wait('state_unreachable');
   if (!input.isWarm) return wait('not_warm');
   if (input.backoffLeftMs > 0) return wait('backoff');
--- a/packages/warm-standby/src/takeover.ts
+++ b/packages/warm-standby/src/takeover.ts
@@ -7,13 +7,13 @@
 import { Backoff } from './backoff.js';
 import type { Cluster } from './cluster.js';
 import type { HolderMonitor } from './holder-monitor.js';
-import { MessageError, TOPIC, decodeProbeAnswer, encodeProbe } from './messages.js';
+import { TOPIC, decodeProbeAnswer, encodeProbe, readAnswer } from './messages.js';
 import type { Options } from './options.js';
 import type { Publisher } from './publisher.js';
 import type { Receiver } from './receiver.js';
 import type { SliceMemory } from './slice-memory.js';
 import type { Takeover, TakeoverHistory } from './takeover-history.js';
-import { decideTakeover, isConfirmed, type Reluctance, type Witness } from './takeover-policy.js';
+import { decideTakeover, doubtOf, type Reluctance, type Witness } from './takeover-policy.js';
 
 /** Holders are looked at so often. */
 const STEP_MS = 100;
@@ -24,6 +24,11 @@
 /** Nothing is taken while the state service was out of reach within this time. */
 const STATE_FRESH_MS = 1000;
 
+/** The rank of a controller that does not stand by for a slice. */
+const NO_STANDBY = -1;
+/** What a controller says that does not answer. */
+const NO_ANSWER = { reaches: null, applied: null };
+
 /** A holder that is under suspicion. */
 interface Suspicion {
   readonly epoch: Version;
@@ -93,11 +98,12 @@
   private watch(slice: SliceFact): void {
     const { clock, node } = this.service;
     const now = clock.now();
-    const rank = this.cluster.standbysOf(slice).indexOf(node);
     const isFollowed = this.receiver.replicas.get(slice.slice)?.epoch === slice.epoch;
     // A holder without a session has failed, or is back this moment: the leader sees to it.
-    const isWatched = rank >= 0 && isFollowed && slice.hasSession;
-    if (!isWatched || !this.monitor.isSuspected(slice.holder, now)) {
+    const isSuspect = isFollowed && slice.hasSession && this.monitor.isSuspected(slice.holder, now);
+    // Standbys are worked out only for a suspect: every slice is looked at many times a second.
+    const rank = isSuspect ? this.cluster.standbysOf(slice).indexOf(node) : NO_STANDBY;
+    if (rank === NO_STANDBY) {
       this.suspicions.delete(slice.slice);
       return;
     }
@@ -139,7 +145,7 @@
     const { holderAnswers, witnesses } = await this.probe(slice);
     const witnessesNeeded = this.options.detection.witnesses;
     const now = clock.now();
-    if (isConfirmed({ holderAnswers, witnesses, witnessesNeeded })) suspicion.confirmedAt ??= now;
+    if (doubtOf({ holderAnswers, witnesses, witnessesNeeded }) === null) suspicion.confirmedAt ??= now;
     else suspicion.confirmedAt = null;
     // It may have been heard while the others were asked.
     if (!this.monitor.isSuspected(slice.holder, now)) return;
@@ -183,7 +189,7 @@
       channel.isAnswering(slice.holder, probe_ms),
       ...this.cluster.othersThan(slice.holder).map(async (node): Promise<Witness> => {
         const reply = await channel.ask(node, TOPIC.probe, payload, probe_ms);
-        return { node, ...witnessFrom(reply) };
+        return { node, ...(readAnswer(decodeProbeAnswer, reply) ?? NO_ANSWER) };
       }),
     ]);
     return { holderAnswers, witnesses };
@@ -283,13 +289,3 @@
     }
   }
 }
-
-function witnessFrom(reply: Uint8Array | null): Pick<Witness, 'reaches' | 'applied'> {
-  if (reply === null) return { reaches: null, applied: null };
-  try {
-    return decodeProbeAnswer(reply);
-  } catch (e) {
-    if (e instanceof MessageError) return { reaches: null, applied: null };
-    throw e;
-  }
-}
--- a/packages/warm-standby/test/fencing.test.ts
+++ b/packages/warm-standby/test/fencing.test.ts
@@ -9,6 +9,7 @@
 import { ViewFacts } from '../../../src/packages/facts.js';
 import { all, begun, leads, wait } from '../../../test/sim/meeting.js';
 import type { Node } from '../../../test/sim/node.js';
+import { answered } from '../../../test/sim/pipelines.js';
 import type { Sim } from '../../../test/sim/run.js';
 import { TOPIC, decodeAcknowledgement, encodeAppend } from '../src/messages.js';
 import { holderOf, shown, standby } from './standbys.js';
@@ -16,20 +17,8 @@
 const transferOf = ({ controller }: Node) => new SliceTransfer(controller!.ctx, controller!.membership);
 const factOf = ({ controller }: Node, slice: NodeName) => new ViewFacts(controller!.ctx).slice(slice)!;
 
-/** Lets the run go on until the outcome is known. */
-async function outcomeOf(
-  sim: Sim,
-  node: Node,
-  work: () => Promise<SliceOutcome>,
-): Promise<SliceOutcome['kind']> {
-  const kinds: SliceOutcome['kind'][] = [];
-  node.clock.run(() => {
-    void work().then((o) => kinds.push(o.kind));
-  });
-  for (let i = 0; i < 100 && kinds.length === 0; i++) await wait(sim, 20);
-  assert.equal(kinds.length, 1);
-  return kinds[0]!;
-}
+/** The outcome of what a controller does, while the run goes on. */
+const outcomeOf = async (sim: Sim, work: () => Promise<SliceOutcome>) => (await answered(sim, work())).kind;
 
 async function threeNodes() {
   const sim = await begun(3);
@@ -47,7 +36,7 @@
   const before = [...sim.state.rows.keys()].filter((k) => k === key.session(victim.name) || k === key.leader);
   assert.equal(before.length, 2);
   taker.controller!.ctx.state.revoke = () => Promise.reject(new Unavailable('revoke'));
-  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(fact)), 'committed');
+  assert.equal(await outcomeOf(sim, () => transferOf(taker).takeOver(fact)), 'committed');
   assert.equal(holderOf(sim, slice), taker.name);
   assert.equal(sim.state.rows.has(key.session(victim.name)), false);
   assert.notEqual((sim.state.rows.get(key.leader)?.value as { node: string } | undefined)?.node, victim.name);
@@ -59,11 +48,8 @@
   const { sim, victim, taker, slice } = await threeNodes();
   const fact = factOf(taker, slice);
   const other = leads(sim);
-  assert.equal(
-    await outcomeOf(sim, other, () => transferOf(other).takeOver(factOf(other, slice))),
-    'committed',
-  );
-  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(fact)), 'overtaken');
+  assert.equal(await outcomeOf(sim, () => transferOf(other).takeOver(factOf(other, slice))), 'committed');
+  assert.equal(await outcomeOf(sim, () => transferOf(taker).takeOver(fact)), 'overtaken');
   assert.notEqual(holderOf(sim, slice), taker.name);
   assert.ok(victim.controller !== null);
 });
@@ -84,7 +70,7 @@
   const sliceRow = sim.state.rows.get(key.slice(slice))!;
   // As if the new life had not come to its slice yet: then only its session stands against the takeover.
   const asSeen = { ...fact, epoch: version(sliceRow.rev) };
-  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(asSeen)), 'overtaken');
+  assert.equal(await outcomeOf(sim, () => transferOf(taker).takeOver(asSeen)), 'overtaken');
   assert.equal(holderOf(sim, slice), victim.name);
   taker.watchLagMs = 0;
 });
@@ -94,7 +80,7 @@
   const fact = factOf(taker, slice);
   taker.cut.add('state');
   await wait(sim, 4000);
-  assert.equal(await outcomeOf(sim, taker, () => transferOf(taker).takeOver(fact)), 'unavailable');
+  assert.equal(await outcomeOf(sim, () => transferOf(taker).takeOver(fact)), 'unavailable');
   assert.notEqual(holderOf(sim, slice), taker.name);
 });
 
--- a/packages/warm-standby/test/loopback/users.ts
+++ b/packages/warm-standby/test/loopback/users.ts
@@ -1,6 +1,6 @@
 /** Users of a loopback cluster: they submit, ask and submit again, and the history of their answers is checked. */
 import assert from 'node:assert/strict';
-import type { Submitted } from '../../../../test/sim/fleet.js';
+import { newJob, type Submitted } from '../../../../test/sim/submitted.js';
 import { submission } from '../../../../test/samples.js';
 import { NODES, type Cluster } from './cluster.js';
 
@@ -56,21 +56,12 @@
       memoryGb: 4,
       dueS: null,
     });
-    const job: Submitted = {
+    const job = newJob({
       body,
       kind: isGang ? 'ensemble' : 'sweep',
       tasks,
       runMs: world.int(300, 2500),
-      apartMs: 0,
-      broken: false,
-      doneTasks: new Set(),
-      toldCancelledAt: null,
-      toldFinal: null,
-      answeredAt: null,
-      accepted: false,
-      asked: false,
-      needs: [],
-    };
+    });
     fleet.submitted.set(id, job);
     const start = performance.now();
     while (!job.accepted) {
--- a/packages/warm-standby/test/takeover.test.ts
+++ b/packages/warm-standby/test/takeover.test.ts
@@ -6,6 +6,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { attempt, jobId, machineName, nodeName } from '../../../src/core/types.js';
+import { answered } from '../../../test/sim/pipelines.js';
 import { ViewFacts } from '../../../src/packages/facts.js';
 import type { Node } from '../../../test/sim/node.js';
 import { LEASE_MS, all, begun, ends, leads, meeting, wait } from '../../../test/sim/meeting.js';
@@ -213,20 +214,13 @@
     },
   );
 
-async function settled<T>(sim: Sim, answer: Promise<T>): Promise<T> {
-  let result: T | undefined;
-  void answer.then((r) => {
-    result = r;
-  });
-  for (let i = 0; i < 200 && result === undefined; i++) await wait(sim, 50);
-  assert.ok(result !== undefined, 'the command was answered');
-  return result;
-}
+/** The longest that a handover takes in these runs. */
+const HANDOVER_MS = 10_000;
 
 play('a planned handover goes to the warm standby at once, and comes back after the restart', async (sim) => {
   for (const node of [owners(sim)[0]!, leads(sim)]) {
     const to = standbyOf(sim, node.name);
-    const answer = await settled(sim, handover(node));
+    const answer = await answered(sim, handover(node), HANDOVER_MS);
     assert.equal(answer.status, 200, JSON.stringify(answer.body));
     assert.equal(holderOf(sim, node.name), to.name);
     await wait(sim, 500);
@@ -246,13 +240,13 @@
   const [node] = owners(sim);
   const follower = standbyOf(sim, node!.name);
   follower.cut.add('peers');
-  const answer = await settled(sim, handover(node!));
+  const answer = await answered(sim, handover(node!), HANDOVER_MS);
   assert.equal(answer.status, 409);
   assert.equal(holderOf(sim, node!.name), node!.name, 'it keeps what it holds');
   assert.match(JSON.stringify(answer.body.refused), /does not (keep up|answer)/);
   follower.cut.clear();
-  assert.equal((await settled(sim, handover(node!, { to: 'nobody' }))).status, 400);
-  assert.equal((await settled(sim, handover(node!, { too: 1 }))).status, 400);
+  assert.equal((await answered(sim, handover(node!, { to: 'nobody' }), HANDOVER_MS)).status, 400);
+  assert.equal((await answered(sim, handover(node!, { too: 1 }), HANDOVER_MS)).status, 400);
 });
 
 play('what was logged and never committed is not carried out after a takeover', async (sim) => {
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -38,7 +38,8 @@
 }
 
 function load(files: Files): Loaded {
-  const settings = inFile(files.config, () => readSettings(readText(files.config)));
+  const text = readText(files.config);
+  const settings = inFile(files.config, () => readSettings(text));
   const fromEnvironment = process.env['PEPPERBANK_OPERATOR'];
   const paths = files.operator ?? (fromEnvironment === undefined ? [] : [fromEnvironment]);
   const operatorFiles = paths.map((path) => ({ path, text: readText(path) }));
@@ -58,7 +59,7 @@
     return read();
   } catch (e) {
     if (!(e instanceof SettingsError)) throw e;
-    throw new SettingsError(e.message.startsWith(path) ? e.message : `${path}: ${e.message}`);
+    throw new SettingsError(`${path}: ${e.message}`);
   }
 }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'pino';
 import type { Operator } from '../config/operator.js';
 import type { Settings } from '../config/settings.js';
+import { splitAddress } from '../core/address.js';
 import type { Clock } from '../core/clock.js';
 import { jobId } from '../core/types.js';
 import { realClock } from '../io/clock.js';
@@ -136,14 +137,9 @@
 /** Usage of the state service is logged so often. */
 const USAGE_EVERY_MS = 30_000;
 
-const split = (address: string): [string, number] => {
-  const at = address.lastIndexOf(':');
-  return [address.slice(0, at), Number(address.slice(at + 1))];
-};
-
 /** Connections for packages come from the address at which the others know this controller, where it has one. */
 function packageLinks(settings: Settings): ReadonlyMap<string, Peer> {
-  const [host] = split(settings.peerBind);
+  const [host] = splitAddress(settings.peerBind);
   const localAddress = host === '0.0.0.0' ? undefined : host;
   return new Map(settings.peers.map((p) => [p.node as string, new PeerLink(p.address, localAddress)]));
 }
@@ -174,7 +170,7 @@
     Math.max(8, settings.nodes * 4),
     (topic, payload, from) => controller.channel.answer(topic, payload, from),
   );
-  await peerServer.listen(...split(settings.peerBind));
+  await peerServer.listen(...splitAddress(settings.peerBind));
   const server = buildServer({
     log,
     jobs: controller.jobs,
@@ -189,7 +185,7 @@
     mostInProgress: operator.users.most_in_progress,
     ...(controller.packages === null ? {} : { packages: controller.packages }),
   });
-  const [host, port] = split(settings.bind);
+  const [host, port] = splitAddress(settings.bind);
   await server.listen({ host, port });
   log.info({ node: settings.node, incarnation: controller.ctx.incarnation, bind: settings.bind }, 'serving');
   await controller.run();
--- a/src/controller/owner/machine-sessions.ts
+++ b/src/controller/owner/machine-sessions.ts
@@ -93,7 +93,7 @@
     const now = ctx.clock.now();
     // Overtaken by the answer to a direct command, or late: the worker is kept, and told nothing.
     if (!takeReport(memory, report, now, true, this.reportMs)) return { kind: 'ok', token, commands: [] };
-    if (ctx.events.isActive) ctx.events.emit({ kind: 'worker_heard', report, isFirst: first });
+    if (ctx.events.isActive) ctx.events.emit({ kind: 'worker_heard', report });
     const wanted = this.wanted();
     const tells = first || machine.phase === 'booting' || report.noticeS !== null;
     if (tells || exits(machine, memory, wanted).length > 0) this.learned(machine.name, first);
@@ -151,9 +151,8 @@
     if (machine === undefined || !ctx.isMine(machine)) return;
     if (answer.token > ctx.view.tokenOf(machine)) return;
     const memory = this.of(machine);
-    const isFirst = memory.report === null;
     if (!takeReport(memory, answer, ctx.clock.now(), false, this.reportMs)) return;
-    if (ctx.events.isActive) ctx.events.emit({ kind: 'worker_heard', report: answer, isFirst });
+    if (ctx.events.isActive) ctx.events.emit({ kind: 'worker_heard', report: answer });
     this.learned(machine.name, false);
   }
 
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -36,7 +36,7 @@
   | { readonly kind: 'task_preempted'; readonly task: TaskOnMachine; readonly inFavourOf: JobId }
   | { readonly kind: 'command_sent'; readonly machine: MachineName; readonly command: Command }
   /** A report, or the answer to a direct message, was taken in under the machine's present token. */
-  | { readonly kind: 'worker_heard'; readonly report: Report; readonly isFirst: boolean }
+  | { readonly kind: 'worker_heard'; readonly report: Report }
   | { readonly kind: 'task_left'; readonly task: TaskOnMachine; readonly why: ExitWhy | null }
   | { readonly kind: 'task_ran'; readonly machine: MachineName; readonly run: Run }
   | { readonly kind: 'job_failing'; readonly job: JobId; readonly failures: JobFailures }
--- a/src/io/peers.ts
+++ b/src/io/peers.ts
@@ -4,6 +4,7 @@
  */
 import net from 'node:net';
 import protobuf from 'protobufjs/light.js';
+import { splitAddress } from '../core/address.js';
 
 const root = protobuf.Root.fromJSON({
   nested: {
@@ -150,10 +151,10 @@
   ) {}
 
   private connect(): net.Socket {
-    const cut = this.address.lastIndexOf(':');
+    const [host, port] = splitAddress(this.address);
     const socket = net.connect({
-      host: this.address.slice(0, cut),
-      port: Number(this.address.slice(cut + 1)),
+      host,
+      port,
       noDelay: true,
       ...(this.localAddress === undefined ? {} : { localAddress: this.localAddress }),
     });
--- a/src/packages/api.ts
+++ b/src/packages/api.ts
@@ -44,14 +44,11 @@
 export interface CommittedFacts {
   /** The view holds a complete picture. */
   readonly isReady: boolean;
-  readonly revision: Revision;
   slices(): SliceFact[];
   slice(name: NodeName): SliceFact | null;
   sessions(): SessionFact[];
-  leader(): NodeName | null;
   machine(name: MachineName): MachineRecord | null;
   machinesOf(slice: NodeName): MachineRecord[];
-  tokenOf(machine: MachineRecord): Token;
   /** Whether the job is unfinished. */
   hasJob(job: JobId): boolean;
   /** This process holds the slice, and its view has all that was committed before it did. */
--- a/src/packages/facts.ts
+++ b/src/packages/facts.ts
@@ -13,10 +13,6 @@
     return this.ctx.follower.ready;
   }
 
-  get revision() {
-    return this.ctx.view.rev;
-  }
-
   slices(): SliceFact[] {
     return [...this.ctx.view.slices.keys()].map((name) => this.slice(nodeName(name))!);
   }
@@ -42,10 +38,6 @@
     }));
   }
 
-  leader(): NodeName | null {
-    return this.ctx.view.leader?.node ?? null;
-  }
-
   machine(name: MachineName): MachineRecord | null {
     return this.ctx.view.machines.get(name) ?? null;
   }
@@ -54,10 +46,6 @@
     return [...this.ctx.view.machines.values()].filter((m) => m.owner === slice);
   }
 
-  tokenOf(machine: MachineRecord) {
-    return this.ctx.view.tokenOf(machine);
-  }
-
   hasJob(job: JobId): boolean {
     return this.ctx.view.jobs.has(job);
   }
--- a/test/sim/fleet.ts
+++ b/test/sim/fleet.ts
@@ -5,31 +5,11 @@
 import assert from 'node:assert/strict';
 import type { Reply } from '../../src/io/http.js';
 import type { Limits } from './sizes.js';
+import type { Submitted } from './submitted.js';
 import type { World } from './world.js';
 
 type Json = Record<string, unknown>;
 
-export interface Submitted {
-  readonly body: Json;
-  readonly kind: string;
-  readonly tasks: number;
-  readonly runMs: number;
-  /** How much longer each task runs than the one before it. */
-  readonly apartMs: number;
-  /** Fails on every machine. */
-  readonly broken: boolean;
-  doneTasks: Set<number>;
-  toldCancelledAt: number | null;
-  toldFinal: string | null;
-  /** When its user last got an answer about it. */
-  answeredAt: number | null;
-  accepted: boolean;
-  /** Its user has asked to call it off. */
-  asked: boolean;
-  /** The jobs that it names. */
-  readonly needs: readonly string[];
-}
-
 interface Task {
   readonly job: Submitted;
   readonly id: string;
--- a/test/sim/pipelines.ts
+++ b/test/sim/pipelines.ts
@@ -3,6 +3,7 @@
 import { jobId } from '../../src/core/types.js';
 import { jobFromWire } from '../../src/io/wire.js';
 import { submission } from '../samples.js';
+import { newJob } from './submitted.js';
 import { SMALL, quiet, type Sim, type Size } from './run.js';
 
 export const begun = (seed: number, size: Size = SMALL, ms = 15_000) => quiet(seed, size, ms);
@@ -71,21 +72,16 @@
   const body = submission({ tenant: 'red', cards: 0, vcpus: 1, memoryGb: 1, ...fields });
   const id = String(body['nameId']);
   if (!sim.fleet.submitted.has(id))
-    sim.fleet.submitted.set(id, {
-      body,
-      kind: String(body['shape']),
-      tasks: Number(body['shards']),
-      runMs: 2000,
-      apartMs: 0,
-      broken: false,
-      doneTasks: new Set(),
-      toldCancelledAt: null,
-      toldFinal: null,
-      answeredAt: null,
-      accepted: false,
-      asked: false,
-      needs: (body['awaits'] as string[] | undefined) ?? [],
-    });
+    sim.fleet.submitted.set(
+      id,
+      newJob({
+        body,
+        kind: String(body['shape']),
+        tasks: Number(body['shards']),
+        runMs: 2000,
+        needs: (body['awaits'] as string[] | undefined) ?? [],
+      }),
+    );
   const { jobs } = sim.nodes.get(node)!.controller!;
   return answered(sim, jobs.submit(jobFromWire(body as never)), ms);
 }
--- a/test/sim/run.ts
+++ b/test/sim/run.ts
@@ -10,7 +10,8 @@
 import { Unavailable } from '../../src/io/state/client.js';
 import * as wire from '../../src/io/wire.js';
 import { submission } from '../samples.js';
-import { Fleet, type Submitted, type Worker } from './fleet.js';
+import { Fleet, type Worker } from './fleet.js';
+import { newJob, type Submitted } from './submitted.js';
 import { Node, asError } from './node.js';
 import { LIMITS, NODES, SMALL, TEAMS, ZONES, type Given, type Json, type Size } from './sizes.js';
 import { StateService } from './state.js';
@@ -263,21 +264,15 @@
       ...given.fields,
       ...(given.needs === undefined ? {} : { awaits: given.needs }),
     });
-    const job: Submitted = {
+    const job = newJob({
       body,
       kind,
       tasks,
       runMs: given.runMs ?? world.int(500, 12_000),
       apartMs: given.apartMs ?? 0,
       broken: (world.chance(0.05) && given.kind === undefined) || given.broken === true,
-      doneTasks: new Set(),
-      toldCancelledAt: null,
-      toldFinal: null,
-      answeredAt: null,
-      accepted: false,
-      asked: false,
       needs: given.needs ?? [],
-    };
+    });
     this.fleet.submitted.set(id, job);
     const cancelAt =
       given.stays !== true && (kind === 'daemon' || job.broken || world.chance(0.15))
