--- a/review/2/test.es6
+++ b/review/2/test.es6
@@ -69,6 +69,7 @@
       if (unansweredS > UNANSWERED_S)
         broken = `no question about ${id}, an accepted job that runs, was answered for ${unansweredS.toFixed(1)} s`;
     }
+    if (deployment.endedByThemselves > 0) broken = 'a controller process ended by itself';
   }
   for (const { nameId } of services)
     recorder.line(`${nameId}: tasks on machines: ${deployment.running(nameId, 1)} of 1`);
