--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -37,7 +37,7 @@
   await submitAccepted(deployment, submission(SERVICE, { ...job, ...replicas, expectedS: 0 }), 0);
   const areRunning = () => replicasRunning(deployment) === 2;
   require(await deployment.until('both replicas run', areRunning, 15_000), 'the replicas did not run');
-  await sleep(3000);
+  await sleep(1000);
 }
 
 /** Kills the controller that holds the shard of the service's team, and starts it again. */
--- a/review/8/case.ts
+++ b/review/8/case.ts
@@ -24,9 +24,9 @@
       shape: 'ensemble',
       loaner: false,
     };
-    const tasks = { shards: 400, vcpus: 1, memoryGb: 3.2, pullGb: 0.1, expectedS: 20 };
+    const tasks = { shards: 900, vcpus: 1, memoryGb: 3.2, pullGb: 0.1, expectedS: 20 };
     await submitAccepted(deployment, submission(GANG, { ...gang, ...tasks }), 20_000);
-    await sleep(14_000);
+    await sleep(9500);
   }
   await submitAccepted(
     deployment,
