Done tasks: gangs and services are not bound by the window of an array

A service beyond 8,192 replicas ran with 8,192, and a large gang got machines for 8,192 tasks and never began. Cause: the window that bounds the bitmap of an array was applied to every kind of job. Results of a gang were marked index by index, the first one beyond the window threw InvariantError, and the error ended the whole pass, each time. Change: all tasks of a gang are done by one value; only arrays have a window of startable tasks; a result beyond the window, as a controller with an older view sees it, waits with its agent instead of ending the pass.

--- a/src/controller/shard/task-exits.ts
+++ b/src/controller/shard/task-exits.ts
@@ -4,7 +4,7 @@
  * the state service's budget, so results are written in batches.
  */
 import type { TaskExit } from '../../core/agents/confirmed-exits.js';
-import { isDone, markDone } from '../../core/jobs/done-tasks.js';
+import { allTasksDone, isDone, isWithinWindow, markDone } from '../../core/jobs/done-tasks.js';
 import type { FencingToken, JobId, MachineName, TaskIndex } from '../../core/model/ids.js';
 import type { DoneSet, JobRecord } from '../../core/model/jobs.js';
 import type { MachineRecord } from '../../core/model/machines.js';
@@ -27,8 +27,11 @@
  */
 const WRITE_BUDGET_FRACTION = 0.15;
 
+/** Done tasks of a job whose results are not durable yet. The tasks of a gang are done all at once. */
+type FoundResults = { readonly kind: 'all' } | { readonly kind: 'some'; readonly indexes: Set<TaskIndex> };
+
 /** Done tasks that one pass has found and whose results are not durable yet, by job. */
-export type UncommittedResults = Map<JobId, Set<TaskIndex>>;
+export type UncommittedResults = Map<JobId, FoundResults>;
 
 /** What one pass writes because of the results that it has found. */
 export interface PreparedResults {
@@ -103,15 +106,18 @@
   collectResult(exit: TaskExit, results: UncommittedResults): void {
     if (exit.reason !== 'done' || this.isDurable(exit)) return;
     const { job, kind } = exit.allocation;
-    const indexes = results.get(job) ?? new Set<TaskIndex>();
-    results.set(job, indexes);
-    if (kind !== 'gang') {
-      indexes.add(exit.index);
+    if (kind === 'gang') {
+      // Tasks of a gang finish together: if one is done, all are.
+      results.set(job, { kind: 'all' });
       return;
     }
-    // Tasks of a gang finish together: if one is done, all are.
-    const tasks = this.context.view.jobs.get(job)?.spec.tasks ?? 0;
-    for (let index = 0; index < tasks; index++) indexes.add(index);
+    // The view may lag behind the team's controller, which has started tasks of a later window. Their agents keep the
+    // results until the view has reached that window.
+    const record = this.context.view.jobs.get(job);
+    if (record === undefined || !isWithinWindow(record.done, exit.index)) return;
+    const found = results.get(job);
+    if (found === undefined) results.set(job, { kind: 'some', indexes: new Set([exit.index]) });
+    else if (found.kind === 'some') found.indexes.add(exit.index);
   }
 
   /** Decides which jobs are finished, and which results are written now. */
@@ -121,10 +127,10 @@
     const finishedJobs = new Map<JobId, DoneSet>();
     const unfinishedJobs = new Map<JobId, DoneSet>();
     const dueCommits: ChangeSet[] = [];
-    for (const [id, indexes] of results) {
+    for (const [id, found] of results) {
       const job = context.view.jobs.get(id);
       if (job === undefined) continue;
-      const done = markDone(job.done, indexes);
+      const done = found.kind === 'all' ? allTasksDone(job.spec.tasks) : markDone(job.done, found.indexes);
       if (done.count >= job.spec.tasks) {
         finishedJobs.set(id, done);
         continue;
--- a/src/core/jobs/done-tasks.ts
+++ b/src/core/jobs/done-tasks.ts
@@ -4,15 +4,27 @@
 import type { DoneSet, JobRecord } from '../model/jobs.js';
 
 /**
- * Size, in tasks, of a job's window, which starts at the base of its done set; no task beyond it is started. The
- * window bounds the bitmap of a job with 100,000 tasks, whose record must stay below the state service's limit for a
- * value.
+ * Size, in tasks, of the window of a done set, which starts at its base. It bounds the bitmap of a job with 100,000
+ * tasks, whose record must stay below the state service's limit for a value. Tasks of an array are done one by one, so
+ * none beyond the window is started. The tasks of a gang are done all at once, and those of a service never: their
+ * bitmap stays empty, and all of them may be started.
  */
 export const TASK_WINDOW = 8192;
 
 /** The done set of a job that has no done tasks. */
 export const NO_TASKS_DONE: DoneSet = { base: 0, bits: '', count: 0 };
 
+/** The done set of a job all of whose `tasks` tasks are done. */
+export const allTasksDone = (tasks: number): DoneSet => ({ base: tasks, bits: '', count: tasks });
+
+/** Whether the set can record the task as done: it lies below the end of the set's window. */
+export const isWithinWindow = (set: DoneSet, index: TaskIndex): boolean => index < set.base + TASK_WINDOW;
+
+/** The index behind the last task of the job that may be started now. */
+export function endOfStartableTasks({ spec, done }: JobRecord): TaskIndex {
+  return spec.kind === 'array' ? Math.min(spec.tasks, done.base + TASK_WINDOW) : spec.tasks;
+}
+
 /** Whether the task with this index is done. */
 export function isDone(set: DoneSet, index: TaskIndex): boolean {
   if (index < set.base) return true;
@@ -23,7 +35,7 @@
 /**
  * The set with further tasks done; tasks that are done already are ignored.
  *
- * @throws InvariantError if a task lies beyond the window of its job
+ * @throws InvariantError if a task lies beyond the window of the set
  */
 export function markDone(set: DoneSet, indexes: Iterable<TaskIndex>): DoneSet {
   const bitmap = Buffer.alloc(TASK_WINDOW >> 3);
@@ -31,7 +43,7 @@
   let { count } = set;
   for (const index of indexes) {
     const position = index - set.base;
-    if (position >= TASK_WINDOW)
+    if (!isWithinWindow(set, index))
       throw new InvariantError(
         `task ${index} lies beyond the window of its job: ${TASK_WINDOW} tasks from task ${set.base} on`,
       );
@@ -42,10 +54,11 @@
   return trimmedDoneSet(set.base, bitmap, count);
 }
 
-/** The tasks within the job's window that are not done, in order; some of them may be on machines already. */
-export function* unfinishedTasks({ spec, done }: JobRecord): Generator<TaskIndex> {
+/** The tasks that may be started now and are not done, in order; some of them may be on machines already. */
+export function* unfinishedTasks(job: JobRecord): Generator<TaskIndex> {
+  const { done } = job;
   const bitmap = Buffer.from(done.bits, 'base64');
-  const end = Math.min(spec.tasks, done.base + TASK_WINDOW);
+  const end = endOfStartableTasks(job);
   for (let index = done.base; index < end; index++) if (!hasBit(bitmap, index - done.base)) yield index;
 }
 
--- a/src/core/scaling/pending-demand.ts
+++ b/src/core/scaling/pending-demand.ts
@@ -1,5 +1,5 @@
 /** The demands that a scaling plan packs, of pending jobs and of headroom, and the quotas that limit them. */
-import { TASK_WINDOW } from '../jobs/done-tasks.js';
+import { endOfStartableTasks } from '../jobs/done-tasks.js';
 import { requiredZone } from '../jobs/feasibility.js';
 import type { NodeName, TeamName, Zone } from '../model/ids.js';
 import type { JobRecord, JobSpec } from '../model/jobs.js';
@@ -59,14 +59,13 @@
 }
 
 /**
- * Number of tasks that could start now: those in the job's task window that are neither done nor allocated. A job
+ * Number of tasks that could start now: those that are neither done nor allocated nor beyond an array's window. A job
  * that fails on every machine has one task at a time. Quotas are not considered.
  */
 function startableTasks(job: JobRecord, allocations: JobAllocations | undefined): number {
-  const { spec, done, failing } = job;
+  const { done, failing } = job;
   const allocated = allocations?.tasks.size ?? 0;
-  const withinWindow = Math.min(spec.tasks, done.base + TASK_WINDOW);
-  const pending = Math.max(0, withinWindow - done.count - allocated);
+  const pending = Math.max(0, endOfStartableTasks(job) - done.count - allocated);
   if (failing === undefined) return pending;
   return Math.min(pending, Math.max(0, 1 - allocated));
 }
--- a/test/done-tasks.test.ts
+++ b/test/done-tasks.test.ts
@@ -16,6 +16,7 @@
 import { wallClockMs } from '../src/core/model/time.js';
 import { jobFromWire } from '../src/io/users/job-messages.js';
 import { submission } from './samples.js';
+import { job, scalingPlan } from './scheduling-samples.js';
 
 const spec = (fields: Record<string, unknown> = {}): JobSpec => jobFromWire(submission(fields) as never);
 
@@ -70,3 +71,13 @@
   assert.ok(JSON.stringify({ ...job, done: set }).length < 4096);
   assert.throws(() => markDone(set, [TASK_WINDOW]));
 });
+
+// Only the results of an array need a bitmap: replicas beyond the window were never started, and a gang got machines for the
+// tasks of one window only (review/4).
+for (const kind of ['ensemble', 'daemon'])
+  test(`all tasks of a job whose tasks do not finish one by one may be started: ${kind}`, () => {
+    const record = job('wk-1', { shape: kind, shards: 100_000, vcpus: 0.01, cards: 0, memoryGb: 0.01 });
+    assert.equal([...unfinishedTasks(record)].length, 100_000);
+    const { rentals } = scalingPlan([record], [], { isAvailable: () => true });
+    assert.ok(rentals.length >= Math.ceil((100_000 * 0.01) / 16), `${rentals.length} machines are rented`);
+  });
