Placement and scaling: a machine gets no more tasks than its agent can report

A gang of small tasks that fit on a machine by their resources, but not into its messages, never began, since nothing more was rented for it. Cause: tasks of a machine were bounded by resources and by the size of its record (7 bytes a task), not by the agent's heartbeat, which may have 64 KiB and takes up to 100 bytes a task. An agent that cannot report loses its lease. The scaling plan went by resources alone. Change: placement, start commands and the plan go by what both the record and the heartbeat have left; exited tasks that the agent still lists count. The plan's own test for full records is gone. Simulated agents send no heartbeat above the limit.

--- a/src/controller/leader/scaling-planner.ts
+++ b/src/controller/leader/scaling-planner.ts
@@ -11,8 +11,6 @@
 import type { MisroutedAgents } from './misrouted-agents.js';
 import type { Rentals } from './rentals.js';
 
-/** A machine whose record has no more than this many bytes left is full: another job's allocation would not fit. */
-const MIN_RECORD_BYTES_LEFT = 300;
 /** Boot time assumed for a machine type that is not known. */
 const DEFAULT_BOOT_S = 60;
 /** A machine that does not come up is released this long after its boot time multiplied by `lost_boot_factor`. */
@@ -62,6 +60,9 @@
       shardByTeam: new Map([...view.teams].map(([team, record]) => [team, record.owner])),
       order: policy.jobOrder(),
       isUsable: (machine) => this.isUsable(machine),
+      // The plan goes by the records alone: heartbeats arrive at the owners.
+      roomOf: (machine) => context.recordBudget.roomOf(machine, null),
+      roomOfNewMachine: context.recordBudget.roomOfNewMachine(),
       isMovable: (machine) => this.isMovable(machine),
       leavesWholeMachinesToGangs: policy.gangWholeMachinePolicy(),
       mayReserve: (job) => policy.mayReserve(job),
@@ -98,10 +99,9 @@
   }
 
   private isUsable(machine: MachineRecord): boolean {
-    const { recordBudget, ownership, operator } = this.context;
-    const { placed, phase, drain } = machine;
+    const { ownership, operator } = this.context;
+    const { phase, drain } = machine;
     if (drain === true) return false;
-    if (placed.length > 0 && recordBudget.bytesLeft(machine) <= MIN_RECORD_BYTES_LEFT) return false;
     // The owner does not reach a machine that has a proxy, and cannot start tasks there.
     if (ownership.proxyOf(machine) !== null) return false;
     if (phase === 'booting')
--- a/src/controller/shard/placement-pass.ts
+++ b/src/controller/shard/placement-pass.ts
@@ -130,7 +130,7 @@
   }
 
   private placementInput(jobs: readonly JobRecord[]): PlacementInput {
-    const { allocations, clock, operator, policy, recordBudget, view } = this.context;
+    const { allocations, clock, operator, policy, recordBudget } = this.context;
     const { placement } = operator;
     return {
       jobs: jobs.filter((job) => !this.health.isBackingOff(job)),
@@ -141,7 +141,7 @@
       fetchRank: (machine, image) => this.fetchRank(machine, image),
       isAvoided: (job, machine) =>
         this.health.avoidsMachine(job, machine) || this.preemptor.isClaimedByOther(job, machine),
-      recordBytesLeft: (name) => recordBudget.bytesLeft(view.machines.get(name)!),
+      roomOf: (machine) => recordBudget.roomOf(machine, this.sessions.find(machine.name)?.heartbeat ?? null),
       maxPlacements: MAX_PLACEMENTS,
       maxMachines: this.maxMachines(),
       order: policy.jobOrder(),
--- a/src/core/agents/agent-commands.ts
+++ b/src/core/agents/agent-commands.ts
@@ -12,6 +12,7 @@
 import type { MonotonicMs } from '../model/time.js';
 import { heartbeatIdOf, type AgentSession } from './agent-session.js';
 import { stopReasonFor, type DesiredState, type StopReason } from './desired-state.js';
+import { MAX_LISTED_TASKS_BYTES, listedTaskBytes, reportedTasksBytes } from './report-size.js';
 import { reportedTasksByKey, taskKey } from './task-key.js';
 
 /** Seconds that a grace period adds to twice the declared save time, for the task to react to the stop. */
@@ -107,7 +108,8 @@
 
 /**
  * Starts for recorded tasks that the agent does not report. A record may still hold allocations of finished tasks whose
- * resources are already allocated to others, so only tasks that fit beside those known to run are started.
+ * resources are already allocated to others, so only tasks that fit beside those known to run are started. Nor does the
+ * agent get more tasks than its next heartbeat can list; the others are started once it has forgotten exited ones.
  */
 function startCommands(
   { machine, session, desired }: AgentCommandInput,
@@ -116,6 +118,7 @@
 ): AgentCommand[] {
   const commands: AgentCommand[] = [];
   let free = desired.totals.freeByMachine.get(machine.name) ?? NO_RESOURCES;
+  let bytesLeft = MAX_LISTED_TASKS_BYTES - reportedTasksBytes(session.heartbeat!.tasks);
   for (const [key, { allocation }] of recorded)
     if (!isAlive(reported.get(key))) free = addResources(free, allocation.demand);
   for (const [key, { allocation, index }] of recorded) {
@@ -123,8 +126,10 @@
     if (stopReasonFor(allocation, index, desired) !== null) continue;
     // A gang's task that an earlier heartbeat listed has been lost, which breaks its gang: it is not started again.
     if (allocation.kind === 'gang' && session.observedTasks.has(key)) continue;
-    if (!fitsWithin(allocation.demand, free)) continue;
+    const bytes = listedTaskBytes(allocation.job, index, allocation.attempt);
+    if (!fitsWithin(allocation.demand, free) || bytes > bytesLeft) continue;
     free = addResources(free, allocation.demand, -1);
+    bytesLeft -= bytes;
     session.startSentIn.set(key, heartbeatIdOf(session.heartbeat!));
     commands.push({ op: 'start', job: allocation.job, index, attempt: allocation.attempt });
   }
--- a/src/core/placement/candidate-machines.ts
+++ b/src/core/placement/candidate-machines.ts
@@ -4,7 +4,7 @@
 import { PRIORITY_RANK, type JobSpec } from '../model/jobs.js';
 import type { MachineRecord } from '../model/machines.js';
 import { fitsWithin, tasksThatFit, type ResourceVector } from '../model/resources.js';
-import { TASK_INDEX_BYTES, allocationBytes } from '../records/stored-records.js';
+import { roomAfter, tasksWithinRoom, type MachineRoom } from '../records/machine-room.js';
 import type { AllocationTotals } from '../state/allocation-totals.js';
 import { FETCH_RANK_BUSY, type PlacementInput } from './placement-types.js';
 
@@ -13,8 +13,8 @@
   /** Position of the machine among the candidates of the pass. */
   readonly position: number;
   readonly machine: MachineRecord;
-  /** Bytes that the machine's record has left for further tasks. */
-  recordBytesLeft: number;
+  /** What the machine's record and the heartbeats of its agent have left for further tasks. */
+  room: MachineRoom;
   /** Jobs of which this pass has placed tasks on the machine. */
   readonly placedJobs: Set<JobId>;
   /** Number of allocations in the machine's record plus tasks placed by this pass; 0 for an empty machine. */
@@ -30,7 +30,7 @@
  * candidates). Most machines are full, so skipping them bounds the cost of the pass.
  */
 export function candidateMachines(
-  { machines, totals, recordBytesLeft }: PlacementInput,
+  { machines, totals, roomOf }: PlacementInput,
   smallestDemand: ResourceVector | null,
 ): CandidateMachine[] {
   if (smallestDemand === null) return [];
@@ -39,7 +39,7 @@
     .map((machine, position) => ({
       position,
       machine,
-      recordBytesLeft: recordBytesLeft(machine.name),
+      room: roomOf(machine),
       placedJobs: new Set(),
       allocationCount: machine.placed.length,
       imagesToFetch: new Set(),
@@ -62,7 +62,7 @@
   if (machine.spot && !spec.spot) return 0;
   if ((zone ?? spec.zone ?? machine.zone) !== machine.zone) return 0;
   const free = totals.freeByMachine.get(machine.name)!;
-  return Math.min(tasksWithinRecord(candidate, spec), tasksThatFit(spec.demand, free));
+  return Math.min(tasksWithinMessages(candidate, spec), tasksThatFit(spec.demand, free));
 }
 
 /**
@@ -78,12 +78,11 @@
   return imagesToFetch.has(image) ? Math.min(rank, 1) : FETCH_RANK_BUSY;
 }
 
-/**
- * Bytes that one more task adds to the machine's record. Tasks of one job placed in the same pass share an
- * allocation.
- */
-export function bytesOfNextTask({ placedJobs }: CandidateMachine, spec: JobSpec): number {
-  return TASK_INDEX_BYTES + (placedJobs.has(spec.id) ? 0 : allocationBytes(spec));
+/** Counts tasks of the job as placed on the machine. Tasks of one job placed in the same pass share an allocation. */
+export function takeRoom(candidate: CandidateMachine, spec: JobSpec, tasks: number): void {
+  candidate.room = roomAfter(candidate.room, spec, tasks, candidate.placedJobs.has(spec.id));
+  candidate.placedJobs.add(spec.id);
+  candidate.allocationCount += tasks;
 }
 
 /** Whether the machine is reserved for another gang of at least the same priority. */
@@ -92,8 +91,7 @@
   return PRIORITY_RANK[reservedFor.priority] <= PRIORITY_RANK[spec.priority];
 }
 
-/** Number of further tasks of the job that fit into the machine's record. */
-export function tasksWithinRecord({ recordBytesLeft, placedJobs }: CandidateMachine, spec: JobSpec): number {
-  const newAllocationBytes = placedJobs.has(spec.id) ? 0 : allocationBytes(spec);
-  return Math.floor((recordBytesLeft - newAllocationBytes) / TASK_INDEX_BYTES);
+/** Number of further tasks of the job that the machine's record and the heartbeats of its agent can name. */
+export function tasksWithinMessages({ room, placedJobs }: CandidateMachine, spec: JobSpec): number {
+  return tasksWithinRoom(room, spec, placedJobs.has(spec.id));
 }
--- a/src/core/placement/machine-search.ts
+++ b/src/core/placement/machine-search.ts
@@ -13,7 +13,7 @@
 import {
   fetchRankOf,
   isReservedForOther,
-  tasksWithinRecord,
+  tasksWithinMessages,
   type CandidateMachine,
 } from './candidate-machines.js';
 import { FETCH_RANK_BUSY, type PlacementInput } from './placement-types.js';
@@ -68,7 +68,7 @@
 export class MachineSearch {
   /**
    * Whether a machine with room was left out for a reason that need not hold for other jobs of the same demand: the job
-   * avoids the machine, or its tasks do not fit into the machine's record.
+   * avoids the machine, or the messages about the machine have no room for its tasks.
    */
   hasExcludedForJob = false;
   private readonly zoneLimit: number;
@@ -111,9 +111,9 @@
 
   /** Number of further tasks of the job that fit on the machine. */
   tasksThatFitOn(candidate: CandidateMachine): number {
-    const withinRecord =
-      tasksWithinRecord(candidate, this.options.spec) - this.chosenTasks[candidate.position]!;
-    return Math.min(withinRecord, tasksThatFit(this.options.spec.demand, this.freeOn(candidate)));
+    const withinMessages =
+      tasksWithinMessages(candidate, this.options.spec) - this.chosenTasks[candidate.position]!;
+    return Math.min(withinMessages, tasksThatFit(this.options.spec.demand, this.freeOn(candidate)));
   }
 
   /** Counts `tasks` more tasks of the job as chosen for the machine, or takes back as many if it is negative. */
@@ -147,8 +147,8 @@
   private isEligible(candidate: CandidateMachine, chosen: number): boolean {
     const { spec } = this.options;
     if (isReservedForOther(candidate, spec) || !allowsMachine(spec, candidate.machine)) return false;
-    const hasRecordRoom = tasksWithinRecord(candidate, spec) > chosen;
-    if (hasRecordRoom && !this.input.isAvoided(spec.id, candidate.machine.name)) return true;
+    const hasMessageRoom = tasksWithinMessages(candidate, spec) > chosen;
+    if (hasMessageRoom && !this.input.isAvoided(spec.id, candidate.machine.name)) return true;
     this.hasExcludedForJob = true;
     return false;
   }
--- a/src/core/placement/placement-state.ts
+++ b/src/core/placement/placement-state.ts
@@ -7,12 +7,7 @@
 import { MinimalDemands } from '../model/minimal-demands.js';
 import type { ResourceVector } from '../model/resources.js';
 import { allocationFor } from '../state/allocations.js';
-import {
-  bytesOfNextTask,
-  candidateMachines,
-  fetchRankOf,
-  type CandidateMachine,
-} from './candidate-machines.js';
+import { candidateMachines, fetchRankOf, takeRoom, type CandidateMachine } from './candidate-machines.js';
 import { MachineSearch, type MachineChoice, type ZoneRequest } from './machine-search.js';
 import { queuesByTeam, smallestDemand } from './placement-queues.js';
 import type { Placement, PlacementInput, PlacementResult, WaitReason } from './placement-types.js';
@@ -129,12 +124,9 @@
     const { machine } = candidate;
     const fetchRank = fetchRankOf(candidate, spec.image, this.input);
     if (fetchRank > 0) candidate.imagesToFetch.add(spec.image);
-    for (const index of indexes) {
-      candidate.recordBytesLeft -= bytesOfNextTask(candidate, spec);
-      candidate.placedJobs.add(spec.id);
+    for (const index of indexes)
       this.placements.push({ job: spec, index, machine, attempt, share, fitness, fetchRank });
-    }
-    candidate.allocationCount += indexes.length;
+    takeRoom(candidate, spec, indexes.length);
     this.changedMachines.add(machine.name);
     const allocation = allocationFor(spec, attempt, indexes);
     this.addedAllocations.push({ machine, allocation });
--- a/src/core/placement/placement-types.ts
+++ b/src/core/placement/placement-types.ts
@@ -3,6 +3,7 @@
 import type { Attempt, JobId, MachineName, TaskIndex } from '../model/ids.js';
 import type { JobRecord, JobSpec } from '../model/jobs.js';
 import type { MachineRecord } from '../model/machines.js';
+import type { MachineRoom } from '../records/machine-room.js';
 import type { AllocationTotals } from '../state/allocation-totals.js';
 
 /**
@@ -40,10 +41,8 @@
   readonly fetchRank: (machine: MachineRecord, image: string) => number;
   /** Whether the job must not be placed on the machine for now. */
   readonly isAvoided: (job: JobId, machine: MachineName) => boolean;
-  /**
-   * Bytes that a machine's record has left for further tasks; the state service limits the size of a record.
-   */
-  readonly recordBytesLeft: (machine: MachineName) => number;
+  /** What a machine's record and the heartbeats of its agent have left for further tasks. */
+  readonly roomOf: (machine: MachineRecord) => MachineRoom;
   /** Number of placed tasks after which the pass ends. */
   readonly maxPlacements: number;
   /** Number of machines with placed tasks after which the pass ends; each is a record to write. */
--- a/src/core/scaling/machine-reclaim.ts
+++ b/src/core/scaling/machine-reclaim.ts
@@ -8,9 +8,8 @@
 import type { TypeName, Zone } from '../model/ids.js';
 import { PRIORITY_RANK } from '../model/jobs.js';
 import type { Allocation, MachineType } from '../model/machines.js';
-import { tasksThatFit } from '../model/resources.js';
 import { type Steps } from '../steps.js';
-import { isUp } from './packing-bins.js';
+import { isUp, tasksThatFitInto } from './packing-bins.js';
 import type { BinMove, PackingBin, PendingDemand, ScalingInput, UnmetDemand } from './scaling-types.js';
 
 /**
@@ -74,7 +73,8 @@
     if (bin.shard === shard || !isUp(bin) || !this.input.isMovable(bin.machine)) return 0;
     if (!runsOnlyLowPriorityArrays(bin.machine.placed) || this.isReclaimed(bin)) return 0;
     if (!allowsMachine(spec, bin)) return 0;
-    return tasksThatFit(spec.demand, this.types.get(bin.type)!.capacity);
+    const room = this.input.roomOfNewMachine;
+    return tasksThatFitInto({ free: this.types.get(bin.type)!.capacity, room }, spec);
   }
 
   private isReclaimed(bin: PackingBin): boolean {
--- a/src/core/scaling/packing-state.ts
+++ b/src/core/scaling/packing-state.ts
@@ -4,9 +4,16 @@
 import type { MachineName, NodeName, Zone } from '../model/ids.js';
 import type { JobSpec } from '../model/jobs.js';
 import type { MachineRecord } from '../model/machines.js';
-import { tasksThatFit, type ResourceVector } from '../model/resources.js';
+import { fitsWithin, type ResourceVector } from '../model/resources.js';
 import { ExhaustedBins, type BinScope } from './exhausted-bins.js';
-import { candidateBins, existingBins, isUp, packIntoBin, rentalBin } from './packing-bins.js';
+import {
+  candidateBins,
+  existingBins,
+  isUp,
+  packIntoBin,
+  rentalBin,
+  tasksThatFitInto,
+} from './packing-bins.js';
 import { chooseRentalOption, rentalOptions, type RentalOption } from './rental-options.js';
 import type {
   BinMove,
@@ -152,15 +159,16 @@
   /** Rents a part of the machines that `tasks` tasks need; returns the number of tasks packed on them. */
   private rentStep(demand: PendingDemand, option: RentalOption, tasks: number): number {
     const { spec, shard } = demand;
-    const perMachine = tasksThatFit(spec.demand, option.type.capacity);
+    const room = this.input.roomOfNewMachine;
+    const perMachine = tasksThatFitInto({ free: option.type.capacity, room }, spec);
     const missing = Math.ceil(tasks / perMachine);
     const count = Math.max(1, Math.floor(missing * RENTAL_STEP));
     const packed = Math.min(tasks, count * perMachine, tasksAllowedInZone(demand, option.zone));
-    const rented = rentalBin(option, shard, Math.max(1, Math.ceil(packed / perMachine)));
+    const rented = rentalBin(option, shard, room, Math.max(1, Math.ceil(packed / perMachine)));
     const request = { type: rented.type, zone: rented.zone, spot: rented.spot, shard };
     for (let i = 0; i < rented.count; i++) this.rentals.push(request);
     addToCount(this.machinesPerZone, rented.zone, rented.count);
-    this.addRented(packIntoBin(rented, spec.demand, packed));
+    this.addRented(packIntoBin(rented, spec, packed));
     recordPacked(demand, rented.zone, packed);
     return packed;
   }
@@ -192,7 +200,8 @@
   ): number {
     if (maxTasks <= 0 || this.exhausted.covers(demand, scope)) return 0;
     const bins = this.binsByScore(demand, scope);
-    if (bins.length === 0) this.exhausted.record(demand, scope);
+    if (bins.length === 0 && !this.isAnyExcludedByMessages(demand, scope))
+      this.exhausted.record(demand, scope);
     let left = maxTasks;
     for (const bin of bins) {
       if (left === 0) break;
@@ -210,10 +219,10 @@
   }
 
   private pack(demand: PendingDemand, bin: PackingBin, tasks: number): void {
-    // The free resources of a bin are part of its key.
+    // What a bin has left is part of its key.
     const key = groupKeyOf(bin);
     if (this.rentedGroups.get(key) === bin) this.rentedGroups.delete(key);
-    const parts = packIntoBin(bin, demand.spec.demand, tasks);
+    const parts = packIntoBin(bin, demand.spec, tasks);
     if (bin.machine === null) this.replaceGroup(bin, parts);
     recordPacked(demand, bin.zone, tasks);
   }
@@ -235,6 +244,14 @@
     return bins.sort((a, b) => scores.get(b)! - scores.get(a)!);
   }
 
+  /** Whether a bin of the scope has the resources for a task of the demand, but no room in its machine's messages. */
+  private isAnyExcludedByMessages({ spec, shard }: PendingDemand, scope: BinScope): boolean {
+    const isAdmitted = this.filterOf(scope, shard);
+    return this.candidates.some(
+      (bin) => isAdmitted(bin) && fitsWithin(spec.demand, bin.free) && tasksThatFitInto(bin, spec) === 0,
+    );
+  }
+
   private filterOf(scope: BinScope, shard: NodeName): BinFilter {
     switch (scope) {
       case 'own_up':
@@ -295,7 +312,7 @@
 function taskCapacityOf(bin: PackingBin, spec: JobSpec, zone: Zone | null): number {
   if (!allowsMachine(spec, bin)) return 0;
   if (zone !== null && zone !== bin.zone) return 0;
-  return tasksThatFit(spec.demand, bin.free);
+  return tasksThatFitInto(bin, spec);
 }
 
 /** How many more tasks the job's spread rule allows in the zone. */
@@ -327,7 +344,7 @@
   if (demand.spec.oneZone) demand.zone ??= zone;
 }
 
-/** Equal for machines to rent that are interchangeable: same traits, same shard and the same resources left. */
-function groupKeyOf({ type, zone, spot, shard, free }: PackingBin): string {
-  return `${type} ${zone} ${spot} ${shard} ${free.join(' ')}`;
+/** Equal for machines to rent that are interchangeable: same traits, same shard, and as much left of everything. */
+function groupKeyOf({ type, zone, spot, shard, free, room }: PackingBin): string {
+  return [type, zone, spot, shard, ...free, room.recordBytes, room.reportBytes].join(' ');
 }
--- a/src/core/scaling/rental-options.ts
+++ b/src/core/scaling/rental-options.ts
@@ -3,7 +3,7 @@
 import type { Zone } from '../model/ids.js';
 import type { JobSpec } from '../model/jobs.js';
 import type { MachineType } from '../model/machines.js';
-import { fitsWithin, tasksThatFit } from '../model/resources.js';
+import { tasksThatFitInto } from './packing-bins.js';
 import type { PendingDemand, ScalingInput } from './scaling-types.js';
 
 /** Options whose prices differ by less than this factor count as equally expensive. */
@@ -21,8 +21,8 @@
   const options: (RentalOption & { cost: number })[] = [];
   const billingKinds = spec.spot ? [true, false] : [false];
   for (const type of input.types) {
-    if (!fitsWithin(spec.demand, type.capacity)) continue;
-    const tasksPerMachine = tasksThatFit(spec.demand, type.capacity);
+    const tasksPerMachine = tasksThatFitInto({ free: type.capacity, room: input.roomOfNewMachine }, spec);
+    if (tasksPerMachine === 0) continue;
     for (const zone of type.zones) {
       for (const spot of billingKinds) {
         if (!allowsMachine(spec, { type: type.name, zone, spot })) continue;
--- a/src/core/scaling/scaling-types.ts
+++ b/src/core/scaling/scaling-types.ts
@@ -5,6 +5,7 @@
 import type { JobRecord, JobSpec } from '../model/jobs.js';
 import type { MachineRecord, RentalRecord, MachineType } from '../model/machines.js';
 import type { ResourceVector } from '../model/resources.js';
+import type { MachineRoom } from '../records/machine-room.js';
 import type { AllocationTotals } from '../state/allocation-totals.js';
 
 /** A machine to rent, and the shard that it is for. */
@@ -30,6 +31,10 @@
   readonly order: Omit<JobOrderContext, 'hasTasks'>;
   /** Whether the machine can take tasks: it is up, reachable and not draining, or it is booting and not overdue. */
   readonly isUsable: (machine: MachineRecord) => boolean;
+  /** What the machine's record and the heartbeats of its agent have left for further tasks. */
+  readonly roomOf: (machine: MachineRecord) => MachineRoom;
+  /** The same for a machine that is rented, which has no tasks. */
+  readonly roomOfNewMachine: MachineRoom;
   /**
    * Whether the machine has confirmed its owner's fencing token. A machine that cannot reach its owner must not be
    * moved from shard to shard, since each new owner would start over in determining whether it has failed.
@@ -98,6 +103,8 @@
   shard: NodeName;
   /** Resources of each machine left free by the allocated tasks and by those that the plan packs. */
   free: ResourceVector;
+  /** What the record and the heartbeats of each machine have left for further tasks, in addition to those planned. */
+  room: MachineRoom;
   /** Number of tasks that the plan packs into the bin, on all its machines together. */
   plannedTasks: number;
 }
--- a/src/io/paths.ts
+++ b/src/io/paths.ts
@@ -1,4 +1,4 @@
-/** HTTP paths of users, agents, the cloud and the state service, and the size limit of request bodies. */
+/** HTTP paths of users, agents, the cloud and the state service. */
 
 /** HTTP paths, those served by a controller and those that it requests. */
 export const paths = {
@@ -20,5 +20,3 @@
   leases: '/grants',
   watch: '/follow',
 };
-/** Maximum size in bytes of the body of a request to a controller. */
-export const MAX_BODY_BYTES = 64 * 1024;
--- a/src/io/users/http-server.ts
+++ b/src/io/users/http-server.ts
@@ -6,7 +6,7 @@
 import type { Logger } from 'pino';
 import { CodedError, UnavailableError } from '../../core/errors.js';
 import { LOG_EVENT } from '../../core/log-events.js';
-import { MAX_BODY_BYTES } from '../paths.js';
+import { MAX_BODY_BYTES } from '../../core/model/message-limits.js';
 import { serveHeartbeats } from './agent-routes.js';
 import type { HeartbeatHandler, JobRequests, PluginRequests } from './http-api.js';
 import { servePlugins, serveStatus } from './operator-routes.js';
--- a/test/scheduling-samples.ts
+++ b/test/scheduling-samples.ts
@@ -7,6 +7,7 @@
 import { wallClockMs } from '../src/core/model/time.js';
 import type { PlacementInput } from '../src/core/placement/placement-types.js';
 import { placeTasks } from '../src/core/placement/placement.js';
+import type { MachineRoom } from '../src/core/records/machine-room.js';
 import { planScaling } from '../src/core/scaling/scaling-plan.js';
 import type { ScalingInput, ScalingPlan } from '../src/core/scaling/scaling-types.js';
 import { AllocationTotals } from '../src/core/state/allocation-totals.js';
@@ -22,6 +23,9 @@
   gpuQuota: null,
 });
 
+/** Room for many tasks in a machine's messages. */
+const AMPLE_ROOM: MachineRoom = { recordBytes: 6000, reportBytes: 60_000 };
+
 /** Two teams with the same guarantee: `red` and `blue`. */
 export const teams = new Map([team('red', 4), team('blue', 4)].map((each) => [each.name, each]));
 
@@ -64,6 +68,8 @@
   ]),
   order: { wallClock: wallClockMs(0), starvationMs: 60_000 },
   isUsable: () => true,
+  roomOf: () => AMPLE_ROOM,
+  roomOfNewMachine: AMPLE_ROOM,
   isMovable: () => true,
   leavesWholeMachinesToGangs: () => false,
   mayReserve: () => true,
@@ -95,7 +101,7 @@
     newAttempt: () => attempt(++lastAttempt),
     fetchRank: () => 2,
     isAvoided: () => false,
-    recordBytesLeft: () => 6000,
+    roomOf: () => AMPLE_ROOM,
     maxPlacements: 50,
     maxMachines: 50,
     order: { wallClock: wallClockMs(0), starvationMs: 60_000 },
--- a/test/sim/simulated-agent.ts
+++ b/test/sim/simulated-agent.ts
@@ -13,6 +13,10 @@
 const MIN_HEARTBEAT_INTERVAL_MS = 500;
 /** Duration of an image pull. */
 const PULL_MS = { min: 200, max: 3000 };
+/** Most bytes of a heartbeat: "A request body may be at most 64 KiB." */
+const MAX_HEARTBEAT_BYTES = 64 * 1024;
+/** A heartbeat with no more tasks than this is far below the limit, so that its size need not be computed. */
+const SURELY_SMALL_TASKS = 200;
 /** Interval at which a finished task on a hung agent checks whether the agent has resumed. */
 const HUNG_RETRY_MS = 500;
 
@@ -37,6 +41,8 @@
   /** Whether the agent reaches no controller, while direct commands reach it. */
   isOutboundPartitioned = false;
   isTerminated = false;
+  /** Number of heartbeats that were not sent since they were too large. */
+  oversizedHeartbeats = 0;
   /** Controllers from which the agent is partitioned in both directions. */
   readonly partitionedFrom = new Set<string>();
   /** Send time of the latest answered heartbeat, from which the lease counts. */
@@ -177,7 +183,12 @@
     time.after(ANSWER_TIMEOUT_MS, () => {
       if (!isSettled) retryAt(this.controllerAfter(target), RETRY_MS);
     });
-    this.cluster.sendToController(this, target, this.heartbeat(), (response) => {
+    const heartbeat = this.heartbeat();
+    if (this.tasks.size > SURELY_SMALL_TASKS && JSON.stringify(heartbeat).length > MAX_HEARTBEAT_BYTES) {
+      this.oversizedHeartbeats++;
+      return;
+    }
+    this.cluster.sendToController(this, target, heartbeat, (response) => {
       if (isSettled || this.isTerminated || this.isHung) return;
       if (response.status === 200) {
         isSettled = true;
