Messages with commands are bounded by their size, not by the number of commands

What agents saw: answers and direct messages of up to 82 KB where the ids of jobs are long; the protocol allows 64 KiB. Change: a message holds the first commands that fit by their size. Short ids get about 600 commands in a message in place of 400.

--- a/src/io/agents/agent-messages.ts
+++ b/src/io/agents/agent-messages.ts
@@ -17,10 +17,13 @@
   type JobId,
   type TaskIndex,
 } from '../../core/model/ids.js';
+import { MAX_BODY_BYTES } from '../../core/model/message-limits.js';
 import { isCount, isObject, type Json } from '../json.js';
 
-/** Commands per message, so that no message exceeds 64 KiB; further commands wait for the next heartbeat. */
-const MAX_COMMANDS = 400;
+/** Most bytes of a message without its commands: the names of its fields, the fencing token and the agent's epoch. */
+const HEADER_BYTES = 100;
+/** Most bytes that a command takes beside its job's id, its index and its attempt. */
+const COMMAND_BYTES = 82;
 const MACHINE_NAME_PATTERN = /^[\w.:-]{1,150}$/;
 
 const TASK_STATE_FROM_WIRE: Record<string, TaskState> = {
@@ -118,9 +121,19 @@
   return slash > 0 && Number.isInteger(index) ? { job: jobId(text.slice(0, slash)), index } : null;
 }
 
-/** The response body for a heartbeat: the fencing token and at most `MAX_COMMANDS` commands. */
+/** The response body for a heartbeat: the fencing token and the first commands, as many as a message may hold. */
 export function commandsToWire(token: FencingToken, commands: readonly AgentCommand[]) {
-  return { mandate: token, orders: commands.slice(0, MAX_COMMANDS).map(commandToWire) };
+  return { mandate: token, orders: commands.slice(0, commandsThatFit(commands)).map(commandToWire) };
+}
+
+/** How many of the commands fit into one message; the others wait for the next heartbeat. */
+function commandsThatFit(commands: readonly AgentCommand[]): number {
+  let bytesLeft = MAX_BODY_BYTES - HEADER_BYTES;
+  for (const [position, { job, index, attempt }] of commands.entries()) {
+    bytesLeft -= COMMAND_BYTES + job.length + String(index).length + String(attempt).length;
+    if (bytesLeft < 0) return position;
+  }
+  return commands.length;
 }
 
 /** The request body of a direct message to an agent; valid for the given agent epoch only. */
