Machines in use: their tokens are recorded where jobs of other shards could use them

Cause: the leader moves a machine only if its record shows contact with its owner under the present token (`heard`). That was written along with other changes, and by itself only for a machine without tasks. A new machine whose first task was placed at once, and one that runs long arrays only, had the same fault without or with a restart. Change: the owner records the token for machines in use, too, if a job of another shard has waited for 15 s and could use the room, or after 30 s the machine, where it runs only arrays; in at most a tenth of its write budget and after all other changes.

--- a/src/controller/shard/machine-reconciler.ts
+++ b/src/controller/shard/machine-reconciler.ts
@@ -23,14 +23,20 @@
   FULL_RECONCILE_INTERVAL_MS,
   MAX_CLEANUP_DELAY_MS,
 } from './timing.js';
+import { TokenRecorder } from './token-recorder.js';
 
 /** A change to a machine's record. */
 export interface MachineChange {
   readonly changeSet: ChangeSet;
-  /** Whether the change is committed before the starts of the pass; other changes are committed after them. */
-  readonly isUrgent: boolean;
+  readonly urgency: ChangeUrgency;
 }
 
+/**
+ * When a change is committed: before the starts of the pass, after them, or after all other changes, so that it delays
+ * none of them.
+ */
+export type ChangeUrgency = 'urgent' | 'deferred' | 'last';
+
 /** Condition of a machine, as decided from its record, its heartbeats and its health. */
 interface MachineCondition {
   /** Whether the cloud has announced that it will reclaim the machine. */
@@ -54,6 +60,7 @@
 /** Reconciles records of owned machines with the heartbeats of their agents. */
 export class MachineReconciler {
   private readonly reachability: MachineReachability;
+  private readonly tokens: TokenRecorder;
 
   constructor(
     private readonly context: ControllerContext,
@@ -64,11 +71,13 @@
     private readonly onTaskExit: () => void,
   ) {
     this.reachability = new MachineReachability(context, sessions);
+    this.tokens = new TokenRecorder(context);
   }
 
-  /** Discards the evaluation of the zones' reachability by earlier passes. */
+  /** Discards the evaluation of the zones' reachability by earlier passes, and lets the time since the last one count. */
   beginPass(): void {
     this.reachability.beginPass();
+    this.tokens.beginPass();
   }
 
   /**
@@ -139,8 +148,8 @@
   ): MachineChange | null {
     const condition = this.conditionOf(machine, session);
     const allocations = this.reconcileAllocations(machine, exits, condition);
-    const isUrgent = this.isUrgent(machine, condition, allocations);
-    if (!isUrgent && !this.isCleanupDue(machine, session, condition, allocations)) return null;
+    const urgency = this.urgencyOf(machine, session, condition, allocations);
+    if (urgency === null) return null;
     if (condition.isUnreachable) this.logUnreachable(machine, session);
     const { isDraining } = condition;
     const value: MachineRecord = {
@@ -150,7 +159,20 @@
       ...this.observedFields(machine, session),
       ...(isDraining ? { drain: isDraining } : {}),
     };
-    return { changeSet: this.changeSetFor(value, isUrgent), isUrgent };
+    return { changeSet: this.changeSetFor(value, urgency), urgency };
+  }
+
+  /** When the machine's record has to be written; null if it need not be in this pass. */
+  private urgencyOf(
+    machine: MachineRecord,
+    session: AgentSession,
+    condition: MachineCondition,
+    allocations: ReconciledAllocations,
+  ): ChangeUrgency | null {
+    if (this.isUrgent(machine, condition, allocations)) return 'urgent';
+    if (this.isCleanupDue(session, condition, allocations)) return 'deferred';
+    if (!this.tokens.isDue(machine, session)) return null;
+    return machine.placed.length === 0 ? 'deferred' : 'last';
   }
 
   private conditionOf(machine: MachineRecord, session: AgentSession): MachineCondition {
@@ -208,7 +230,6 @@
    * include it.
    */
   private isCleanupDue(
-    machine: MachineRecord,
     session: AgentSession,
     { hasBooted }: MachineCondition,
     { removableExits, remaining }: ReconciledAllocations,
@@ -218,16 +239,12 @@
     const { hasSpareBudget } = state;
     const delayMs = cleanupDelayMs({ hasSpareBudget, isEmpty: remaining.length === 0 });
     if (removableExits.some((exit) => now - exitedAt(session, exit) > delayMs)) return true;
-    const hasShownToken = session.heartbeat?.token === session.token;
-    const isTokenUnrecorded =
-      hasShownToken && machine.placed.length === 0 && (machine.heard ?? 0) < session.token;
-    if (!isTokenUnrecorded && !hasBooted) return false;
-    const observationDelayMs = hasSpareBudget ? FULL_RECONCILE_INTERVAL_MS : CLEANUP_DELAY_EMPTY_MS;
-    return now - session.firstHeartbeatAt! > observationDelayMs;
+    const bootDelayMs = hasSpareBudget ? FULL_RECONCILE_INTERVAL_MS : CLEANUP_DELAY_EMPTY_MS;
+    return hasBooted && now - session.firstHeartbeatAt! > bootDelayMs;
   }
 
-  private changeSetFor(value: MachineRecord, isUrgent: boolean): ChangeSet {
-    const reason = isUrgent ? 'machine_state' : 'tidying';
+  private changeSetFor(value: MachineRecord, urgency: ChangeUrgency): ChangeSet {
+    const reason = urgency === 'urgent' ? 'machine_state' : 'tidying';
     return {
       operations: [{ key: key.machine(value.name), value, reason }],
       // The guards include the shard's: a controller that has lost the shard must not write the records of its
--- a/src/controller/shard/shard-controller.ts
+++ b/src/controller/shard/shard-controller.ts
@@ -18,7 +18,7 @@
 import { Notification } from '../notification.js';
 import { AgentSessions, type MachineObservation } from './agent-sessions.js';
 import { JobReconciler } from './job-reconciler.js';
-import { MachineReconciler } from './machine-reconciler.js';
+import { MachineReconciler, type ChangeUrgency } from './machine-reconciler.js';
 import { PlacementPass } from './placement-pass.js';
 import { TaskExits, type UncommittedResults } from './task-exits.js';
 import { FULL_RECONCILE_INTERVAL_MS } from './timing.js';
@@ -142,13 +142,10 @@
     const desired = { jobs: context.view.jobs, totals: context.allocations.current() };
     const results: UncommittedResults = new Map();
     this.machines.beginPass();
-    const urgentMachines: ChangeSet[] = [];
-    const deferredMachines: ChangeSet[] = [];
+    const machines: Record<ChangeUrgency, ChangeSet[]> = { urgent: [], deferred: [], last: [] };
     for (const name of names) {
       const change = this.machines.reconcile(name, desired, results);
-      if (change === null) continue;
-      const changes = change.isUrgent ? urgentMachines : deferredMachines;
-      changes.push(change.changeSet);
+      if (change !== null) machines[change.urgency].push(change.changeSet);
     }
     const prepared = this.taskExits.prepareCommits(results);
     const { finished, cancellations } = this.jobs.reconcile(prepared);
@@ -156,8 +153,8 @@
     const recovered = this.jobs.clearRecoveredJobs(prepared.unfinishedJobs);
     return {
       // Finished jobs come first, since other jobs may depend on them.
-      urgent: [...finished, ...urgentMachines, ...cancellations],
-      deferred: [...failing, ...recovered, ...deferredMachines, ...prepared.dueCommits],
+      urgent: [...finished, ...machines.urgent, ...cancellations],
+      deferred: [...failing, ...recovered, ...machines.deferred, ...prepared.dueCommits, ...machines.last],
     };
   }
 
--- a/src/core/scaling/pending-demand.ts
+++ b/src/core/scaling/pending-demand.ts
@@ -62,7 +62,7 @@
  * Number of tasks that could start now: those that are neither done nor allocated nor beyond an array's window. A job
  * that fails on every machine has one task at a time. Quotas are not considered.
  */
-function startableTasks(job: JobRecord, allocations: JobAllocations | undefined): number {
+export function startableTasks(job: JobRecord, allocations: JobAllocations | undefined): number {
   const { done, failing } = job;
   const allocated = allocations?.tasks.size ?? 0;
   const pending = Math.max(0, endOfStartableTasks(job) - done.count - allocated);
