Agents: an attempt is forgotten only once no copy of its start can be carried out

What callers saw, on a service like this one: a task ran on two machines and a cancelled one ran again, since a late copy of a start command, carried out and answered before, reached the machine once more. Cause, here: starts are sent only in answers to heartbeats, which an agent takes for 4 s. The protocol does not say that it takes each once. A copied start has no effect while the agent lists the attempt; after a forget, which could follow within those 4 s, it runs the task again, which by then may be cancelled or run elsewhere. Change: forget is sent 4.5 s after the latest start at the earliest. A gang's task that is forgotten and started again in one answer counts as exited only after that time.

--- a/src/core/agents/agent-commands.ts
+++ b/src/core/agents/agent-commands.ts
@@ -3,6 +3,10 @@
  *
  * A stop may also be sent directly: it names one attempt, and attempt numbers are never reused, so a late stop is
  * harmless. Starts are sent only in answers to heartbeats; see confirmed-exits.ts.
+ *
+ * A copy of an answer may reach the agent again as long as the agent takes answers to that heartbeat. A copied start has no
+ * effect while the agent lists the attempt, exited or not, so the attempt is forgotten only after that time. An owner under
+ * another token need not wait: the agent drops answers with a lower token than that of the forget.
  */
 import type { AgentCommand, ReportedTask } from '../model/heartbeats.js';
 import type { TaskIndex } from '../model/ids.js';
@@ -11,6 +15,7 @@
 import { NO_RESOURCES, addResources, fitsWithin } from '../model/resources.js';
 import type { MonotonicMs } from '../model/time.js';
 import { heartbeatIdOf, type AgentSession } from './agent-session.js';
+import { MAX_ANSWER_AGE_MS } from './agent-timing.js';
 import { stopReasonFor, type DesiredState, type StopReason } from './desired-state.js';
 import { MAX_LISTED_TASKS_BYTES, listedTaskBytes, reportedTasksBytes } from './report-size.js';
 import { reportedTasksByKey, taskKey } from './task-key.js';
@@ -64,7 +69,7 @@
 }
 
 function commandsForExitedTask(
-  { session, desired, mayStart }: AgentCommandInput,
+  { session, desired, now, mayStart }: AgentCommandInput,
   key: string,
   { job, index, attempt, exitReason }: ReportedTask,
   recorded: RecordedTask | undefined,
@@ -72,16 +77,34 @@
   const forget: AgentCommand = { op: 'forget', job, index, attempt };
   // A done task's allocation is removed only once its result is durable, or while its job is being cancelled: without
   // an allocation, the agent may drop the exited task.
-  if (recorded === undefined) return [forget];
+  if (recorded === undefined) return mayForget(session, key, now) ? [forget] : [];
   if (!mayStart || exitReason !== 'incomplete') return [];
   if (stopReasonFor(recorded.allocation, recorded.index, desired) !== null) return [];
   // After a forget command the agent can start the same attempt again. A new attempt would discard each image fetch
   // that takes longer than a task may wait for its gang.
-  session.startSentIn.set(key, heartbeatIdOf(session.heartbeat!));
+  recordStart(session, key, { now, followsForget: true });
   session.observedTasks.delete(key);
   return [forget, { op: 'start', job, index, attempt }];
 }
 
+/** Whether no copy of the task's start can reach the agent any more. */
+function mayForget(session: AgentSession, key: string, now: MonotonicMs): boolean {
+  const start = session.sentStarts.get(key);
+  return start === undefined || now - start.sentAt > MAX_ANSWER_AGE_MS;
+}
+
+function recordStart(
+  session: AgentSession,
+  key: string,
+  { now, followsForget }: { readonly now: MonotonicMs; readonly followsForget: boolean },
+): void {
+  session.sentStarts.set(key, {
+    heartbeat: heartbeatIdOf(session.heartbeat!),
+    sentAt: now,
+    followsForget,
+  });
+}
+
 function stopCommandFor(
   { session, desired, now }: AgentCommandInput,
   key: string,
@@ -112,7 +135,7 @@
  * agent get more tasks than its next heartbeat can list; the others are started once it has forgotten exited ones.
  */
 function startCommands(
-  { machine, session, desired }: AgentCommandInput,
+  { machine, session, desired, now }: AgentCommandInput,
   reported: ReadonlyMap<string, ReportedTask>,
   recorded: ReadonlyMap<string, RecordedTask>,
 ): AgentCommand[] {
@@ -130,7 +153,7 @@
     if (!fitsWithin(allocation.demand, free) || bytes > bytesLeft) continue;
     free = addResources(free, allocation.demand, -1);
     bytesLeft -= bytes;
-    session.startSentIn.set(key, heartbeatIdOf(session.heartbeat!));
+    recordStart(session, key, { now, followsForget: false });
     commands.push({ op: 'start', job: allocation.job, index, attempt: allocation.attempt });
   }
   return commands;
--- a/src/core/agents/agent-session.ts
+++ b/src/core/agents/agent-session.ts
@@ -13,6 +13,15 @@
   readonly reason: ExitReason | null;
 }
 
+/** The latest start command for an attempt of a task. */
+export interface SentStart {
+  /** The heartbeat whose answer carried the command. */
+  readonly heartbeat: HeartbeatId;
+  readonly sentAt: MonotonicMs;
+  /** Whether the same answer told the agent to forget an earlier run of the attempt. */
+  readonly followsForget: boolean;
+}
+
 /**
  * State that the present owner keeps in memory about one machine's agent under one fencing token. Losing it delays
  * decisions, but causes no wrong ones.
@@ -35,8 +44,8 @@
   lastContactAt: MonotonicMs;
   /** When the session's first heartbeat arrived; null before it. */
   firstHeartbeatAt: MonotonicMs | null;
-  /** The heartbeat whose answer carried the latest start command for a task, by task key. */
-  readonly startSentIn: Map<string, HeartbeatId>;
+  /** The latest start command for each task, by task key. */
+  readonly sentStarts: Map<string, SentStart>;
   /** Keys of the tasks that the session's heartbeats have listed. */
   readonly observedTasks: Set<string>;
   /** When the first stop command for a task was sent, by task key. */
@@ -63,7 +72,7 @@
   uninterruptedSince: null,
   lastContactAt: now,
   firstHeartbeatAt: null,
-  startSentIn: new Map(),
+  sentStarts: new Map(),
   observedTasks: new Set(),
   stopRequestedAt: new Map(),
   exitedTasks: new Map(),
--- a/src/core/agents/agent-timing.ts
+++ b/src/core/agents/agent-timing.ts
@@ -12,6 +12,12 @@
 /** Allowance for network delays and busy processes between two heartbeats. */
 export const HEARTBEAT_SLACK_MS = 500;
 
+/**
+ * Time after which an agent executes no copy of an answer any more: it drops answers that arrive later than
+ * `AGENT_ANSWER_TIMEOUT_MS` after the heartbeat.
+ */
+export const MAX_ANSWER_AGE_MS = AGENT_ANSWER_TIMEOUT_MS + HEARTBEAT_SLACK_MS;
+
 /** Longest time in milliseconds between two heartbeats of an agent that receives its answers in time. */
 export const maxHeartbeatGapMs = (intervalMs: number): number =>
   intervalMs * MAX_HEARTBEAT_JITTER + HEARTBEAT_SLACK_MS;
--- a/src/core/agents/confirmed-exits.ts
+++ b/src/core/agents/confirmed-exits.ts
@@ -9,6 +9,7 @@
 import type { TaskIndex } from '../model/ids.js';
 import type { Allocation, MachineRecord } from '../model/machines.js';
 import { isNewer, type AgentSession } from './agent-session.js';
+import { MAX_ANSWER_AGE_MS } from './agent-timing.js';
 import { stopReasonFor, type DesiredState } from './desired-state.js';
 import { reportedTasksByKey, taskKey } from './task-key.js';
 
@@ -47,12 +48,14 @@
 
 /**
  * Whether a start command for the task may still be in flight. A task reported as exited is no exception: if its gang
- * was incomplete, it is started again under the same attempt, in the answer to the heartbeat that reports its exit.
+ * was incomplete, it is started again under the same attempt, in the answer to the heartbeat that reports its exit. A copy
+ * of that answer would start it once more after a further exit, since the copied command to forget precedes the start.
  */
-function isStartPending(session: AgentSession, key: string): boolean {
-  const startSentIn = session.startSentIn.get(key);
-  if (startSentIn === undefined) return false;
-  return session.lastPushedId === null || !isNewer(session.lastPushedId, startSentIn);
+function isStartPending({ sentStarts, lastPushedId, lastPushedAt }: AgentSession, key: string): boolean {
+  const start = sentStarts.get(key);
+  if (start === undefined) return false;
+  if (lastPushedId === null || !isNewer(lastPushedId, start.heartbeat)) return true;
+  return start.followsForget && lastPushedAt! - start.sentAt <= MAX_ANSWER_AGE_MS;
 }
 
 function exitOfReportedTask(
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test';
 import { agentCommands } from '../src/core/agents/agent-commands.js';
 import { newAgentSession, recordHeartbeat, type AgentSession } from '../src/core/agents/agent-session.js';
+import { MAX_ANSWER_AGE_MS } from '../src/core/agents/agent-timing.js';
 import { confirmedExits } from '../src/core/agents/confirmed-exits.js';
 import type { DesiredState } from '../src/core/agents/desired-state.js';
 import type { AgentCommand, Heartbeat, ReportedTask } from '../src/core/model/heartbeats.js';
@@ -157,7 +158,7 @@
   const starts = commandsFor(target, session, { ...desired, jobs }, 0);
   assert.equal(starts.length, 1, 'one task runs and one more fits');
   session.exitedTasks.set(`${spec.id}/0@7`, { exitedAt: monotonicMs(0), reason: 'done' });
-  session.startSentIn.clear();
+  session.sentStarts.clear();
   const afterExit = commandsFor(target, session, { ...desired, jobs }, 0);
   assert.deepEqual(
     afterExit.map((c) => c.job),
@@ -214,9 +215,40 @@
   );
   // The agent pushes its next heartbeat only after it has received that answer or stopped waiting for it.
   record(session, heartbeat(3, TOKEN, [task(0, 'exited', 'incomplete')]), 3000);
+  assert.deepEqual(
+    confirmedExits(target, session, cancelled).filter((e) => e.index === 0),
+    [],
+    'a copy of that answer may make the agent forget the task and start it once more',
+  );
+  record(session, heartbeat(4, TOKEN, [task(0, 'exited', 'incomplete')]), 1000 + MAX_ANSWER_AGE_MS + 1);
   assert.equal(confirmedExits(target, session, cancelled).filter((e) => e.index === 0).length, 1);
 });
 
+// A copied start has no effect while the agent lists the attempt; see late-copies.test.ts.
+test('an exited task is forgotten only once no copy of the answer with its start can be carried out', () => {
+  const session = newAgentSession(TOKEN, monotonicMs(0));
+  const allocated = machine(allocation([0]));
+  const active = job('active');
+  record(session, heartbeat(1, TOKEN), 1000);
+  assert.deepEqual(
+    commandsFor(allocated, session, desiredState(allocated, active), 1000).map(({ op }) => op),
+    ['start'],
+  );
+  const released = machine();
+  const desired = desiredState(released, active);
+  for (const [sequence, atMs, expected] of [
+    [2, 2000, []],
+    [3, 1000 + MAX_ANSWER_AGE_MS, []],
+    [4, 1001 + MAX_ANSWER_AGE_MS, ['forget']],
+  ] as const) {
+    record(session, heartbeat(sequence, TOKEN, [task(0, 'exited', 'error')]), atMs);
+    assert.deepEqual(
+      commandsFor(released, session, desired, atMs).map(({ op }) => op),
+      expected,
+    );
+  }
+});
+
 test('a finished task releases resources of its machine at once, but quota only once its result is durable', () => {
   const team = spec.team;
   const target = machine(allocation([0, 1]));
--- a/test/sim/agent-network.ts
+++ b/test/sim/agent-network.ts
@@ -4,6 +4,7 @@
 import { commandsToWire, heartbeatFromWire, redirectToWire } from '../../src/io/agents/agent-messages.js';
 import type { HttpResponse } from '../../src/io/http-client.js';
 import type { SimulatedAgent } from './simulated-agent.js';
+import type { AnswerHandler } from './simulated-cluster.js';
 import type { Simulation } from './simulation.js';
 import { AGENT_TIMINGS, type Json } from './sizes.js';
 
@@ -15,6 +16,7 @@
 const DELAY_MS = { min: 1, max: 5 };
 /** Maximum delay of a duplicated heartbeat, as a multiple of the agents' lease. */
 const MAX_DUPLICATE_AGE_LEASES = 2.5;
+const MIN_DUPLICATE_AGE_MS = 1000;
 
 /** Carries heartbeats to controllers and their answers to agents. */
 export class AgentNetwork {
@@ -32,12 +34,7 @@
   }
 
   /** Delivers a heartbeat; `done` receives the answer unless the answer is lost. */
-  sendHeartbeat(
-    agent: SimulatedAgent,
-    node: string,
-    heartbeat: Json,
-    done: (response: HttpResponse) => void,
-  ): void {
+  sendHeartbeat(agent: SimulatedAgent, node: string, heartbeat: Json, done: AnswerHandler): void {
     const { simulation } = this;
     const { time } = simulation;
     const arrive = () => {
@@ -53,12 +50,22 @@
     time.after(this.delayMs(), arrive);
   }
 
-  private answerHeartbeat(
-    agent: SimulatedAgent,
-    node: string,
-    heartbeat: Json,
-    done: (response: HttpResponse) => void,
-  ): void {
+  /** Delivers some messages to agents once more, up to several leases later, whatever has happened to the sender. */
+  duplicateLater(deliver: () => void): void {
+    const { time, duplicateCommandsProbability } = this.simulation;
+    // No random number is drawn in runs without such copies, since that would change them.
+    if (duplicateCommandsProbability === 0 || !time.happens(duplicateCommandsProbability)) return;
+    time.after(this.duplicateAgeMs(), deliver);
+  }
+
+  private duplicateAgeMs(): number {
+    return this.simulation.time.int(
+      MIN_DUPLICATE_AGE_MS,
+      AGENT_TIMINGS.leaseS * 1000 * MAX_DUPLICATE_AGE_LEASES,
+    );
+  }
+
+  private answerHeartbeat(agent: SimulatedAgent, node: string, heartbeat: Json, done: AnswerHandler): void {
     const { simulation } = this;
     const { controller, clock } = simulation.controllers.get(node)!;
     if (controller === null) {
@@ -71,6 +78,9 @@
       simulation.time.after(this.delayMs(), () => {
         if (!clock.isDead && this.hasInboundPath(agent, node)) done(response);
       });
+      this.duplicateLater(() => {
+        done(response, true);
+      });
     });
   }
 
@@ -94,7 +104,7 @@
    */
   private deliverDuplicateLater(node: string, body: Json): void {
     const { time } = this.simulation;
-    time.after(time.int(1000, AGENT_TIMINGS.leaseS * 1000 * MAX_DUPLICATE_AGE_LEASES), () => {
+    time.after(this.duplicateAgeMs(), () => {
       const heartbeat = heartbeatFromWire(structuredClone(body));
       assert.ok(heartbeat !== null);
       const { controller, clock } = this.simulation.controllers.get(node)!;
--- a/test/sim/controller-connections.ts
+++ b/test/sim/controller-connections.ts
@@ -6,6 +6,7 @@
 import type { HttpResponse, Transport } from '../../src/io/http-client.js';
 import type { Peer } from '../../src/io/peers/peer.js';
 import { PARTITION_RETRY_MS } from './agent-network.js';
+import type { SimulatedAgent } from './simulated-agent.js';
 import type { SimulatedController } from './simulated-controller.js';
 import type { Simulation } from './simulation.js';
 import { NODES, type Json } from './sizes.js';
@@ -172,6 +173,7 @@
           });
           const body = JSON.parse(JSON.stringify(directCommandsToWire(token, epoch, commands))) as Json;
           this.simulation.observe(this.node.name, `agent ${address}`, body);
+          this.expectStopsOnly(body);
           this.sendToAgent(address, body, (heartbeat) => {
             this.clock.run(() => {
               resolve(heartbeatFromWire(heartbeat));
@@ -181,6 +183,18 @@
     };
   }
 
+  /**
+   * A late copy of a direct message is executed if its token and epoch still match. Stops name an attempt that is never
+   * started again; a copied start would run a task that has left the machine.
+   */
+  private expectStopsOnly(body: Json): void {
+    const others = (body['orders'] as Json[]).filter(({ orderKind }) => orderKind !== 'stop');
+    if (others.length > 0)
+      this.simulation.fail(
+        new Error(`a direct message holds ${JSON.stringify(others[0])}, expected stops only`),
+      );
+  }
+
   private sendToAgent(address: string, body: Json, done: (heartbeat: Json) => void): void {
     const { time, cluster, network } = this.simulation;
     const arrive = () => {
@@ -190,12 +204,25 @@
         this.node.unreachable.has('agents') ||
         network.isPartitioned(agent, this.node.name) ||
         agent.isInboundPartitioned;
-      if (isHeldBack) time.after(PARTITION_RETRY_MS, arrive);
-      else agent.handleDirectCommands(body, done);
+      if (isHeldBack) {
+        time.after(PARTITION_RETRY_MS, arrive);
+        return;
+      }
+      agent.handleDirectCommands(body, done);
+      network.duplicateLater(() => {
+        this.deliverCopy(agent, body);
+      });
     };
     time.after(time.int(1, 5), arrive);
   }
 
+  /** Delivers a copy of a direct message that the agent has answered; nobody waits for the answer to the copy. */
+  private deliverCopy(agent: SimulatedAgent, body: Json): void {
+    const isAccepted = Number(body['mandate']) >= agent.token && body['shift'] === agent.agentEpoch;
+    if (isAccepted && (body['orders'] as Json[]).length > 0) this.simulation.duplicateCommandsExecuted++;
+    agent.handleDirectCommands(body, () => undefined);
+  }
+
   private peers(): ReadonlyMap<string, Peer> {
     return new Map(NODES.filter((name) => name !== this.node.name).map((name) => [name, this.peer(name)]));
   }
--- a/test/sim/simulated-agent.ts
+++ b/test/sim/simulated-agent.ts
@@ -43,6 +43,8 @@
   isTerminated = false;
   /** Number of heartbeats that were not sent since they were too large. */
   oversizedHeartbeats = 0;
+  /** Number of copied answers whose commands were executed. */
+  answerCopiesExecuted = 0;
   /** Controllers from which the agent is partitioned in both directions. */
   readonly partitionedFrom = new Set<string>();
   /** Send time of the latest answered heartbeat, from which the lease counts. */
@@ -188,7 +190,11 @@
       this.oversizedHeartbeats++;
       return;
     }
-    this.cluster.sendToController(this, target, heartbeat, (response) => {
+    this.cluster.sendToController(this, target, heartbeat, (response, isCopy = false) => {
+      if (isCopy) {
+        this.handleAnswerCopy(response, sentAt, epoch);
+        return;
+      }
       if (isSettled || this.isTerminated || this.isHung) return;
       if (response.status === 200) {
         isSettled = true;
@@ -215,6 +221,19 @@
     return owner;
   }
 
+  /**
+   * Executes the commands of a copied answer as those of the answer itself. The protocol does not say that an agent takes an
+   * answer only once, but that it drops answers after `ANSWER_TIMEOUT_MS`.
+   */
+  private handleAnswerCopy({ status, body }: HttpResponse, sentAt: number, epoch: number): void {
+    const isInTime = this.cluster.time.now - sentAt <= ANSWER_TIMEOUT_MS;
+    if (status !== 200 || !isInTime || this.isTerminated || this.isHung) return;
+    const { mandate, orders } = body as { mandate: number; orders: Json[] };
+    if (mandate < this.token || epoch !== this.agentEpoch) return;
+    if (orders.length > 0) this.answerCopiesExecuted++;
+    this.execute(orders);
+  }
+
   /** Handles the answer to a heartbeat; ignores an answer with an old token or to a heartbeat of an earlier epoch. */
   private handleAnswer(body: Json, sentAt: number, epoch: number): void {
     const token = Number(body['mandate'] ?? -1);
--- a/test/sim/simulated-cluster.ts
+++ b/test/sim/simulated-cluster.ts
@@ -14,12 +14,15 @@
 /** Minimum time after which the other tasks of a gang end when one of its tasks is lost. */
 const MIN_GANG_NOTICE_S = 0.2;
 
+/** Receives the answer to a heartbeat; `isCopy`: a late copy of the answer. */
+export type AnswerHandler = (response: HttpResponse, isCopy?: boolean) => void;
+
 /** Sends a heartbeat to a controller; `done` receives the answer. */
 export type SendToController = (
   agent: SimulatedAgent,
   node: string,
   heartbeat: Json,
-  done: (response: HttpResponse) => void,
+  done: AnswerHandler,
 ) => void;
 
 /** Dependencies and size of a simulated cluster. */
--- a/test/sim/simulation.ts
+++ b/test/sim/simulation.ts
@@ -75,6 +75,10 @@
   partitionsResetConnections = false;
   /** Share of heartbeats of which a duplicate arrives later. */
   duplicateHeartbeatProbability = 0.03;
+  /** Share of direct messages, and of answers to heartbeats, of which the agent gets a copy up to several leases later. */
+  duplicateCommandsProbability = 0;
+  /** Copies of direct messages that were executed, since their token and epoch still matched. */
+  duplicateCommandsExecuted = 0;
   /** Share of jobs that users cancel, query and submit again at the moment at which the last task ends. */
   cancelAtEndProbability = 0;
 
