Preemption goes by the messages about a machine, too, and its changes can always be stored

Change: victims are chosen until resources and messages have room; where the split record could not be stored, the whole allocation stops.

--- a/src/controller/record-budget.ts
+++ b/src/controller/record-budget.ts
@@ -55,6 +55,11 @@
     return Math.max(0, this.valueBytes - size - this.imagesBytes - RESERVED_FIELDS_BYTES);
   }
 
+  /** Whether the record, without the images that may be left out of it, can be stored. */
+  isStorable(machine: MachineRecord): boolean {
+    return jsonBytes({ ...machine, images: undefined }) <= this.valueBytes;
+  }
+
   /**
    * What the machine's messages have left for further tasks. Its agent lists the tasks of the record and those of its
    * newest heartbeat that have left the record, until it has forgotten them; null if no heartbeat is known.
--- a/src/controller/shard/placement-pass.ts
+++ b/src/controller/shard/placement-pass.ts
@@ -10,6 +10,7 @@
   type WaitReason,
 } from '../../core/placement/placement-types.js';
 import { placeTasks } from '../../core/placement/placement.js';
+import type { MachineRoom } from '../../core/records/machine-room.js';
 import { REQUEST_PRIORITY } from '../../io/rate-limiter.js';
 import { commitChangeSets } from '../../io/state/transaction-commit.js';
 import type { ControllerContext } from '../controller-context.js';
@@ -69,7 +70,7 @@
     private readonly taskExits: TaskExits,
     machines: MachineReconciler,
   ) {
-    this.preemptor = new Preemptor(context);
+    this.preemptor = new Preemptor(context, (machine) => this.roomOf(machine));
     this.startTransactions = new StartTransactions(context, sessions, taskExits, machines);
     this.pendingJobLog = new PendingJobLog(context);
   }
@@ -130,7 +131,7 @@
   }
 
   private placementInput(jobs: readonly JobRecord[]): PlacementInput {
-    const { allocations, clock, operator, policy, recordBudget } = this.context;
+    const { allocations, clock, operator, policy } = this.context;
     const { placement } = operator;
     return {
       jobs: jobs.filter((job) => !this.health.isBackingOff(job)),
@@ -141,7 +142,7 @@
       fetchRank: (machine, image) => this.fetchRank(machine, image),
       isAvoided: (job, machine) =>
         this.health.avoidsMachine(job, machine) || this.preemptor.isClaimedByOther(job, machine),
-      roomOf: (machine) => recordBudget.roomOf(machine, this.sessions.find(machine.name)?.heartbeat ?? null),
+      roomOf: (machine) => this.roomOf(machine),
       maxPlacements: MAX_PLACEMENTS,
       maxMachines: this.maxMachines(),
       order: policy.jobOrder(),
@@ -165,6 +166,10 @@
     });
   }
 
+  private roomOf(machine: MachineRecord): MachineRoom {
+    return this.context.recordBudget.roomOf(machine, this.sessions.find(machine.name)?.heartbeat ?? null);
+  }
+
   private exitedAllocations(): ExitedAllocation[] {
     const exited: ExitedAllocation[] = [];
     for (const name of this.taskExits.machines()) {
--- a/src/controller/shard/preemptor.ts
+++ b/src/controller/shard/preemptor.ts
@@ -44,7 +44,10 @@
   /** Jobs without victims in the passes since the last one that searched for all others. */
   private readonly searchedInVain = new Set<JobId>();
 
-  constructor(private readonly context: ControllerContext) {}
+  constructor(
+    private readonly context: ControllerContext,
+    private readonly roomOf: PreemptionInput['roomOf'],
+  ) {}
 
   /** Whether the last pass ended before it searched for victims for all jobs. */
   get hasUnsearchedJobs(): boolean {
@@ -152,6 +155,7 @@
       machines,
       totals: context.allocations.current(),
       teams: context.teams,
+      roomOf: this.roomOf,
       isClaimed: (machine) => this.claims.has(machine.name),
     };
   }
@@ -165,12 +169,32 @@
   /** The change that marks the victims as stopping; claims their machine for the job. */
   private stopVictims(job: JobRecord, machine: MachineRecord, victims: readonly Allocation[]): ChangeSet {
     this.claim(job, machine);
-    const isEntitled = this.isEntitled(job);
-    for (const victim of victims) this.reportPreemption({ job, machine, victim, isEntitled });
     const value: MachineRecord = { ...machine, placed: markStopping(machine.placed, victims) };
+    // An allocation that stops in part is split, for which a record near its limit has no bytes left.
+    if (!this.context.recordBudget.isStorable(value)) return this.stopWholeAllocations(job, machine, victims);
+    return this.stopChange(job, value, victims);
+  }
+
+  /** The change that stops all tasks of the allocations that the victims belong to, which splits none of them. */
+  private stopWholeAllocations(
+    job: JobRecord,
+    machine: MachineRecord,
+    victims: readonly Allocation[],
+  ): ChangeSet {
+    const isOfVictim = ({ job: id, attempt }: Allocation) =>
+      victims.some((victim) => victim.job === id && victim.attempt === attempt);
+    const whole = machine.placed.filter((allocation) => allocation.stop !== true && isOfVictim(allocation));
+    const value: MachineRecord = { ...machine, placed: markStopping(machine.placed, whole) };
+    return this.stopChange(job, value, whole);
+  }
+
+  /** The change that writes the machine's record, in which the victims are marked as stopping. */
+  private stopChange(job: JobRecord, value: MachineRecord, victims: readonly Allocation[]): ChangeSet {
+    const isEntitled = this.isEntitled(job);
+    for (const victim of victims) this.reportPreemption({ job, machine: value, victim, isEntitled });
     return {
-      operations: [{ key: key.machine(machine.name), value, reason: 'preemption' }],
-      guards: this.context.guards.forMachine(machine),
+      operations: [{ key: key.machine(value.name), value, reason: 'preemption' }],
+      guards: this.context.guards.forMachine(value),
       // A gang needs the room on all its machines.
       groups: [job.spec.id],
     };
--- a/src/core/placement/gang-preemption.ts
+++ b/src/core/placement/gang-preemption.ts
@@ -7,6 +7,7 @@
 import { PRIORITY_RANK } from '../model/jobs.js';
 import type { MachineRecord } from '../model/machines.js';
 import { addResources, tasksThatFit } from '../model/resources.js';
+import { roomWithout, tasksWithinRoom } from '../records/machine-room.js';
 import { preemptionCost } from './preemption-cost.js';
 import type { PreemptionChoice, PreemptionInput } from './preemption.js';
 
@@ -50,14 +51,16 @@
 }
 
 /** The machine as an option for the gang; no victims if stopping them makes room for no further task. */
-function gangMachine(machine: MachineRecord, { job, jobs, totals }: PreemptionInput): GangMachine {
+function gangMachine(machine: MachineRecord, { job, jobs, totals, roomOf }: PreemptionInput): GangMachine {
   const free = totals.freeByMachine.get(machine.name)!;
   const victims = machine.placed.filter(
     ({ priority, kind, stop }) => priority === 'low' && kind === 'array' && stop !== true,
   );
   const freeAfter = victims.reduce((sum, { demand, tasks }) => addResources(sum, demand, tasks.length), free);
-  const tasksNow = tasksThatFit(job.demand, free);
-  const tasksAfter = tasksThatFit(job.demand, freeAfter);
+  const room = roomOf(machine);
+  const roomAfter = victims.reduce(roomWithout, room);
+  const tasksNow = Math.min(tasksThatFit(job.demand, free), tasksWithinRoom(room, job, false));
+  const tasksAfter = Math.min(tasksThatFit(job.demand, freeAfter), tasksWithinRoom(roomAfter, job, false));
   if (tasksAfter <= tasksNow) return { machine, victims: [], taskCapacity: tasksNow, cost: 0 };
   const cost = victims.reduce((sum, victim) => sum + preemptionCost(victim, jobs.get(victim.job)), 0);
   return { machine, victims, taskCapacity: tasksAfter, cost };
--- a/src/core/placement/preemption.ts
+++ b/src/core/placement/preemption.ts
@@ -9,6 +9,7 @@
 import { PRIORITY_RANK, type JobRecord, type JobSpec } from '../model/jobs.js';
 import type { Allocation, MachineRecord } from '../model/machines.js';
 import { addResources, fitsWithin } from '../model/resources.js';
+import { roomWithout, tasksWithinRoom, type MachineRoom } from '../records/machine-room.js';
 import type { AllocationTotals } from '../state/allocation-totals.js';
 import { isBeyondGuarantee, isWithinGuarantee } from './guarantees.js';
 import { preemptionCost } from './preemption-cost.js';
@@ -24,6 +25,8 @@
   readonly machines: readonly MachineRecord[];
   readonly totals: AllocationTotals;
   readonly teams: ReadonlyMap<TeamName, Team>;
+  /** What the machine's record and the heartbeats of its agent have left for further tasks. */
+  readonly roomOf: (machine: MachineRecord) => MachineRoom;
   /** Whether room on the machine is already claimed for a job that tasks were stopped for. */
   readonly isClaimed: (machine: MachineRecord) => boolean;
 }
@@ -77,14 +80,17 @@
     .sort((a, b) => a.cost - b.cost);
   const victims: Allocation[] = [];
   let free = totals.freeByMachine.get(machine.name)!;
+  let room = input.roomOf(machine);
+  const isRoomFor = () => fitsWithin(job.demand, free) && tasksWithinRoom(room, job, false) > 0;
   let totalCost = 0;
   for (const { allocation, cost } of byCost) {
-    if (fitsWithin(job.demand, free)) break;
+    if (isRoomFor()) break;
     free = addResources(free, allocation.demand, allocation.tasks.length);
+    room = roomWithout(room, allocation);
     totalCost += cost;
     victims.push(allocation);
   }
-  if (victims.length === 0 || !fitsWithin(job.demand, free)) return null;
+  if (victims.length === 0 || !isRoomFor()) return null;
   return { machine, victims, cost: totalCost };
 }
 
--- a/src/core/records/machine-room.ts
+++ b/src/core/records/machine-room.ts
@@ -2,10 +2,14 @@
  * What the messages about a machine leave for further tasks, beside its free resources: its record names each allocated
  * task, and so does each heartbeat of its agent. Both have a limit on their size.
  */
-import { largestListedTaskBytes } from '../agents/report-size.js';
+import { allocatedTasksBytes, largestListedTaskBytes } from '../agents/report-size.js';
 import type { JobSpec } from '../model/jobs.js';
+import type { Allocation } from '../model/machines.js';
 import { TASK_INDEX_BYTES, allocationBytes } from './stored-records.js';
 
+/** Least bytes that a record gains when a task leaves it: those of the shortest index. */
+const MIN_INDEX_BYTES = 2;
+
 /** Bytes that a machine's messages have left for further tasks. */
 export interface MachineRoom {
   /** Bytes left in the machine's record. */
@@ -51,6 +55,14 @@
   };
 }
 
+/** At least the room that there is once the tasks of the allocation, or of a part of one, have left the machine. */
+export function roomWithout({ recordBytes, reportBytes }: MachineRoom, allocation: Allocation): MachineRoom {
+  return {
+    recordBytes: recordBytes + MIN_INDEX_BYTES * allocation.tasks.length,
+    reportBytes: reportBytes + allocatedTasksBytes(allocation),
+  };
+}
+
 function taskBytesOf(spec: JobSpec): TaskBytes {
   let bytes = bytesBySpec.get(spec);
   if (bytes === undefined) {
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -4,20 +4,27 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RecordBudget } from '../src/controller/record-budget.js';
 import type { JobRecord } from '../src/core/model/jobs.js';
 import type { MachineRecord } from '../src/core/model/machines.js';
-import { selectVictims } from '../src/core/placement/preemption.js';
+import { selectVictims, type PreemptionInput } from '../src/core/placement/preemption.js';
 import { AllocationTotals } from '../src/core/state/allocation-totals.js';
 import { machine, types } from './samples.js';
-import { allocated, job, teams } from './scheduling-samples.js';
+import { AMPLE_ROOM, allocated, job, teams } from './scheduling-samples.js';
 
-const victimsFor = (preemptor: JobRecord, others: JobRecord[], machines: MachineRecord[]) =>
+const victimsFor = (
+  preemptor: JobRecord,
+  others: JobRecord[],
+  machines: MachineRecord[],
+  roomOf: PreemptionInput['roomOf'] = () => AMPLE_ROOM,
+) =>
   selectVictims({
     job: preemptor.spec,
     jobs: new Map([preemptor, ...others].map((j) => [j.spec.id, j])),
     machines,
     totals: new AllocationTotals(machines, types, teams),
     teams,
+    roomOf,
     isClaimed: () => false,
   });
 
@@ -60,3 +67,16 @@
   );
   assert.equal(victimsFor(preemptor, [service], [machine('n-1', [allocated(service, 0, 1, 2, 3)])]), null);
 });
+
+// Such a job waited as long as the others ran: the machine seemed to have room for it (as in review/6).
+test('tasks are preempted for a job that has the resources it needs, but no room in the messages about the machine', () => {
+  const small = { vcpus: 0.01, cards: 0, memoryGb: 0.01 };
+  const preemptor = job('wk-1', { shape: 'daemon', tier: 'production', shards: 1, ...small });
+  const low = job('wk-2', { tier: 'low', shards: 751, ...small });
+  const budget = new RecordBudget(8 * 1024);
+  const roomOf = (each: MachineRecord) => budget.roomOf(each, null);
+  const full = machine('n-1', [allocated(low, ...Array(751).keys())]);
+  assert.ok(roomOf(full).reportBytes < 100, `the agent has ${roomOf(full).reportBytes} bytes left to report`);
+  const victims = victimsFor(preemptor, [low], [full], roomOf)?.victims ?? [];
+  assert.ok(victims.length > 0 && victims.length < 5, `${victims.length} tasks are stopped`);
+});
--- a/test/reclaim.test.ts
+++ b/test/reclaim.test.ts
@@ -11,7 +11,7 @@
 import { selectVictims } from '../src/core/placement/preemption.js';
 import { AllocationTotals } from '../src/core/state/allocation-totals.js';
 import { machine, types } from './samples.js';
-import { allocated, job, scalingPlan, team, teams } from './scheduling-samples.js';
+import { AMPLE_ROOM, allocated, job, scalingPlan, team, teams } from './scheduling-samples.js';
 
 const UNGUARANTEED = 'guest';
 const teamsWithUnguaranteed = new Map([...teams, [teamName(UNGUARANTEED), team(UNGUARANTEED, 0)]]);
@@ -29,6 +29,7 @@
     machines,
     totals,
     teams: teamsWithUnguaranteed,
+    roomOf: () => AMPLE_ROOM,
     isClaimed: () => false,
   });
   assert.equal(found?.victims.length, 1);
@@ -55,6 +56,7 @@
       machines,
       totals: new AllocationTotals(machines, types, teams),
       teams,
+      roomOf: () => AMPLE_ROOM,
       isClaimed: () => false,
     })?.map((choice) => [choice.machine.name, choice.victims.length]);
   const machines = [
--- a/test/scheduling-samples.ts
+++ b/test/scheduling-samples.ts
@@ -24,7 +24,7 @@
 });
 
 /** Room for many tasks in a machine's messages. */
-const AMPLE_ROOM: MachineRoom = { recordBytes: 6000, reportBytes: 60_000 };
+export const AMPLE_ROOM: MachineRoom = { recordBytes: 6000, reportBytes: 60_000 };
 
 /** Two teams with the same guarantee: `red` and `blue`. */
 export const teams = new Map([team('red', 4), team('blue', 4)].map((each) => [each.name, each]));
