Results: a large batch is written at once, since it takes up room for further tasks

Cause: results of an array whose other tasks still run are batched for up to 20 s; until then allocations stay in the record, and exited tasks in the heartbeats.

--- a/src/controller/shard/machine-reconciler.ts
+++ b/src/controller/shard/machine-reconciler.ts
@@ -21,6 +21,7 @@
   CLEANUP_DELAY_EMPTY_MS,
   CLEANUP_DELAY_SPARE_MS,
   FULL_RECONCILE_INTERVAL_MS,
+  LARGE_BATCH_TASKS,
   MAX_CLEANUP_DELAY_MS,
 } from './timing.js';
 import { TokenRecorder } from './token-recorder.js';
@@ -234,6 +235,7 @@
     { hasBooted }: MachineCondition,
     { removableExits, remaining }: ReconciledAllocations,
   ): boolean {
+    if (removableExits.length >= LARGE_BATCH_TASKS) return true;
     const { clock, state } = this.context;
     const now = clock.now();
     const { hasSpareBudget } = state;
--- a/src/controller/shard/task-exits.ts
+++ b/src/controller/shard/task-exits.ts
@@ -12,7 +12,7 @@
 import { key } from '../../core/records/keys.js';
 import type { ChangeSet } from '../../io/state/change-set.js';
 import type { ControllerContext } from '../controller-context.js';
-import { FULL_RECONCILE_INTERVAL_MS, MAX_CLEANUP_DELAY_MS } from './timing.js';
+import { FULL_RECONCILE_INTERVAL_MS, LARGE_BATCH_TASKS, MAX_CLEANUP_DELAY_MS } from './timing.js';
 
 /** Minimum time for which results of a job are batched while the write budget is short. */
 const MIN_BATCH_MS = 2500;
@@ -150,7 +150,9 @@
     const now = this.context.clock.now();
     // A result shows that the job does not fail on every machine, so its failure record is removed at once.
     const isFailing = job.failing !== undefined;
-    const delayMs = isFailing ? 0 : Math.max(commitIntervalMs, this.batchDelayMs(job, done));
+    const isLarge = done.count - job.done.count >= LARGE_BATCH_TASKS;
+    const batchDelayMs = isLarge ? 0 : this.batchDelayMs(job, done);
+    const delayMs = isFailing ? 0 : Math.max(commitIntervalMs, batchDelayMs);
     const since = this.batchStartedAt.get(id) ?? now;
     const isDue = now - since >= delayMs;
     this.batchStartedAt.set(id, isDue ? now : since);
