Agent sessions keep nothing of attempts that their agents were told to forget

Cause, found by reading: a session kept the keys of all tasks that its machine had ever run, in four collections, for as long as the controller owns the machine. Not measured in a running controller. Change: with the command to forget an attempt, the session drops what it knows of it. Test, seen to fail before: heartbeats, a session keeps nothing of attempts that were forgotten.

--- a/src/core/agents/agent-commands.ts
+++ b/src/core/agents/agent-commands.ts
@@ -14,7 +14,7 @@
 import type { Allocation, MachineRecord } from '../model/machines.js';
 import { NO_RESOURCES, addResources, fitsWithin } from '../model/resources.js';
 import type { MonotonicMs } from '../model/time.js';
-import { heartbeatIdOf, type AgentSession } from './agent-session.js';
+import { dropAttempt, heartbeatIdOf, type AgentSession } from './agent-session.js';
 import { MAX_ANSWER_AGE_MS } from './agent-timing.js';
 import { stopReasonFor, type DesiredState, type StopReason } from './desired-state.js';
 import { MAX_LISTED_TASKS_BYTES, listedTaskBytes, reportedTasksBytes } from './report-size.js';
@@ -77,7 +77,11 @@
   const forget: AgentCommand = { op: 'forget', job, index, attempt };
   // A done task's allocation is removed only once its result is durable, or while its job is being cancelled: without
   // an allocation, the agent may drop the exited task.
-  if (recorded === undefined) return mayForget(session, key, now) ? [forget] : [];
+  if (recorded === undefined) {
+    if (!mayForget(session, key, now)) return [];
+    dropAttempt(session, key);
+    return [forget];
+  }
   if (!mayStart || exitReason !== 'incomplete') return [];
   if (stopReasonFor(recorded.allocation, recorded.index, desired) !== null) return [];
   // After a forget command the agent can start the same attempt again. A new attempt would discard each image fetch
--- a/src/core/agents/agent-session.ts
+++ b/src/core/agents/agent-session.ts
@@ -46,7 +46,7 @@
   firstHeartbeatAt: MonotonicMs | null;
   /** The latest start command for each task, by task key. */
   readonly sentStarts: Map<string, SentStart>;
-  /** Keys of the tasks that the session's heartbeats have listed. */
+  /** Keys of the tasks that the session's heartbeats have listed, without those that the agent was told to forget. */
   readonly observedTasks: Set<string>;
   /** When the first stop command for a task was sent, by task key. */
   readonly stopRequestedAt: Map<string, MonotonicMs>;
@@ -78,6 +78,14 @@
   exitedTasks: new Map(),
 });
 
+/** Drops what the session knows of an attempt that has left the record and that the agent is told to forget. */
+export function dropAttempt(session: AgentSession, key: string): void {
+  session.sentStarts.delete(key);
+  session.observedTasks.delete(key);
+  session.stopRequestedAt.delete(key);
+  session.exitedTasks.delete(key);
+}
+
 /** Whether a heartbeat of an agent is newer than another one of the same agent. */
 export const isNewer = (heartbeat: HeartbeatId, other: HeartbeatId): boolean =>
   heartbeat.agentEpoch > other.agentEpoch ||
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -306,3 +306,25 @@
     }
   }
 });
+
+// A controller may own a machine for weeks; it kept the keys of all tasks that have ever run there.
+test('a session keeps nothing of attempts that were forgotten', () => {
+  const session = newAgentSession(TOKEN, monotonicMs(0));
+  const active = job('active');
+  let sequence = 0;
+  for (let attemptNumber = 1; attemptNumber <= 50; attemptNumber++) {
+    const startedAt = attemptNumber * 60_000;
+    const running = machine(allocation([0], attemptNumber));
+    record(session, heartbeat(++sequence, TOKEN), startedAt);
+    commandsFor(running, session, desiredState(running, active), startedAt);
+    const exited = { ...task(0, 'exited', 'error'), attempt: attempt(attemptNumber) };
+    const exitedAt = startedAt + MAX_ANSWER_AGE_MS + 1;
+    record(session, heartbeat(++sequence, TOKEN, [exited]), exitedAt);
+    commandsFor(machine(), session, desiredState(machine(), active), exitedAt);
+  }
+  const { sentStarts, observedTasks, stopRequestedAt, exitedTasks } = session;
+  assert.deepEqual(
+    [sentStarts, observedTasks, stopRequestedAt, exitedTasks].map(({ size }) => size),
+    [0, 0, 0, 0],
+  );
+});
