--- a/src/controller/controller-context.ts
+++ b/src/controller/controller-context.ts
@@ -10,12 +10,14 @@
 import { ClusterView } from '../core/state/cluster-view.js';
 import { viewChangesOf } from '../core/state/view-changes.js';
 import type { Transport } from '../io/http-client.js';
-import { StateClient, type StateServiceLimits } from '../io/state/state-client.js';
+import { StateClient } from '../io/state/state-client.js';
+import type { StateServiceLimits } from '../io/state/state-limits.js';
 import type { WriteOperation } from '../io/state/state-messages.js';
 import { StateWatcher } from '../io/state/state-watcher.js';
 import { AllocationTracker } from './allocation-tracker.js';
 import { DependencyTracker } from './dependency-tracker.js';
 import { FinalStateCache } from './final-state-cache.js';
+import { MachineRooms } from './machine-rooms.js';
 import { RecordBudget } from './record-budget.js';
 import { SchedulingPolicy } from './scheduling-policy.js';
 import { ShardOwnership } from './shard-ownership.js';
@@ -68,6 +70,7 @@
   readonly ownership: ShardOwnership;
   readonly guards: TransactionGuards;
   readonly recordBudget: RecordBudget;
+  readonly machineRooms: MachineRooms;
   readonly finalStates: FinalStateCache;
   readonly dependencies: DependencyTracker;
   readonly policy: SchedulingPolicy;
@@ -98,6 +101,7 @@
     this.ownership = new ShardOwnership(view, this.incarnation);
     this.guards = new TransactionGuards(view);
     this.recordBudget = new RecordBudget(this.state.limits.valueBytes);
+    this.machineRooms = new MachineRooms(this.recordBudget);
     this.dependencies = new DependencyTracker({
       view,
       viewChanges,
--- a/src/controller/leader/scaling-planner.ts
+++ b/src/controller/leader/scaling-planner.ts
@@ -61,8 +61,8 @@
       order: policy.jobOrder(),
       isUsable: (machine) => this.isUsable(machine),
       // The plan goes by the records alone: heartbeats arrive at the owners.
-      roomOf: (machine) => context.recordBudget.roomOf(machine, null),
-      roomOfNewMachine: context.recordBudget.roomOfNewMachine(),
+      roomOf: (machine) => context.machineRooms.roomOf(machine, null),
+      roomOfNewMachine: context.machineRooms.roomOfNewMachine(),
       isMovable: (machine) => this.isMovable(machine),
       leavesWholeMachinesToGangs: policy.gangWholeMachinePolicy(),
       mayReserve: (job) => policy.mayReserve(job),
--- a/src/controller/shard/placement-pass.ts
+++ b/src/controller/shard/placement-pass.ts
@@ -167,7 +167,7 @@
   }
 
   private roomOf(machine: MachineRecord): MachineRoom {
-    return this.context.recordBudget.roomOf(machine, this.sessions.find(machine.name)?.heartbeat ?? null);
+    return this.context.machineRooms.roomOf(machine, this.sessions.find(machine.name)?.heartbeat ?? null);
   }
 
   private exitedAllocations(): ExitedAllocation[] {
--- a/src/core/scaling/packing-state.ts
+++ b/src/core/scaling/packing-state.ts
@@ -1,10 +1,11 @@
 /** The working state of a scaling plan: bins filled with pending tasks, and the moves and rentals this requires. */
 import { addToCount } from '../collections.js';
-import { allowsMachine, maxTasksPerZone, zoneChoices } from '../jobs/feasibility.js';
+import { zoneChoices } from '../jobs/feasibility.js';
 import type { MachineName, NodeName, Zone } from '../model/ids.js';
 import type { JobSpec } from '../model/jobs.js';
 import type { MachineRecord } from '../model/machines.js';
 import { fitsWithin, type ResourceVector } from '../model/resources.js';
+import { isLeftToGangs, scoreOf, taskCapacityOf, tasksAllowedInZone } from './bin-selection.js';
 import { ExhaustedBins, type BinScope } from './exhausted-bins.js';
 import {
   candidateBins,
@@ -26,12 +27,6 @@
   UnmetDemand,
 } from './scaling-types.js';
 
-/** The parts of a bin's score: each is more than the sum of those below it. */
-const SCORE_MATCHING_BILLING_KIND = 16;
-const SCORE_IN_USE = 8;
-const SCORE_UP = 4;
-const SCORE_BOOTING = 2;
-
 /**
  * Machines for one demand are rented in steps of this fraction of those that are still missing, one at a time in the
  * end: the cost of a plan must not grow with the number of machines, and the zones must stay balanced.
@@ -308,35 +303,6 @@
   }
 }
 
-/** How many tasks of the job fit into the bin; 0 if the bin is outside `zone`, where null admits every zone. */
-function taskCapacityOf(bin: PackingBin, spec: JobSpec, zone: Zone | null): number {
-  if (!allowsMachine(spec, bin)) return 0;
-  if (zone !== null && zone !== bin.zone) return 0;
-  return tasksThatFitInto(bin, spec);
-}
-
-/** How many more tasks the job's spread rule allows in the zone. */
-function tasksAllowedInZone({ spec, tasksPerZone }: PendingDemand, zone: Zone): number {
-  return maxTasksPerZone(spec) - (tasksPerZone.get(zone) ?? 0);
-}
-
-function isLeftToGangs(bin: PackingBin, demand: PendingDemand): boolean {
-  return demand.leavesWholeMachinesToGangs && bin.machine !== null && bin.isEmpty && !bin.spot;
-}
-
-/**
- * The bin's score for the job; bins with a higher score are filled first. It prefers bins of the job's billing kind,
- * then bins in use, then machines that are up, then booting machines over rentals.
- */
-function scoreOf(bin: PackingBin, spec: JobSpec): number {
-  let score = 0;
-  if (bin.spot === spec.spot) score += SCORE_MATCHING_BILLING_KIND;
-  if (!bin.isEmpty || bin.plannedTasks > 0) score += SCORE_IN_USE;
-  if (isUp(bin)) score += SCORE_UP;
-  else if (bin.machine !== null) score += SCORE_BOOTING;
-  return score;
-}
-
 /** Counts tasks of the demand as packed in the zone. */
 function recordPacked(demand: PendingDemand, zone: Zone, tasks: number): void {
   addToCount(demand.tasksPerZone, zone, tasks);
--- a/src/io/state/state-client.ts
+++ b/src/io/state/state-client.ts
@@ -12,6 +12,7 @@
 import { RateLimiter, REQUEST_PRIORITY, type RequestPriority } from '../rate-limiter.js';
 import type { ChangeSet } from './change-set.js';
 import { retryWhile } from './retry.js';
+import { createLimiter, watchIntervalMs, type StateServiceLimits } from './state-limits.js';
 import {
   entryFromWire,
   eventsFromWire,
@@ -30,36 +31,9 @@
 import type { TransactionResult } from './transaction-result.js';
 
 const TIMEOUT_MS = 2000;
-/** Fractions of this controller's share of the rate limits that it uses; the rest absorbs clock drift. */
-const REQUEST_RATE_FRACTION = 0.9;
-const WRITE_RATE_FRACTION = 0.95;
-const MAX_QUEUED_REQUESTS = 200;
-/** Fraction of the write rate of all controllers that one of them may use while nothing is refused. */
-const MAX_BORROWED_FRACTION = 0.8;
-/**
- * Fraction of this controller's share of the request rate that watch requests may use. Each change of a watched key
- * ends a watch request: without a limit, many small changes by other controllers would use up the requests for users.
- */
-const WATCH_FRACTION = 0.3;
 /** Maximum number of retries of a refused transaction that a user waits for. */
 const MAX_RETRIES = 2;
 
-/** The limits of the state service, and the number of controllers that share them. */
-export interface StateServiceLimits {
-  /** Requests per second. */
-  readonly rps: number;
-  /** Write operations per second. */
-  readonly writeRps: number;
-  /** What `rps` may fall to without notice. */
-  readonly minRps: number;
-  /** What `writeRps` may fall to without notice. */
-  readonly minWriteRps: number;
-  readonly operationsPerTransaction: number;
-  /** Maximum size of a value, as JSON. */
-  readonly valueBytes: number;
-  readonly controllerCount: number;
-}
-
 /** Limits, clock, connections and observers of a state client. */
 export interface StateClientOptions {
   readonly limits: StateServiceLimits;
@@ -240,7 +214,7 @@
 
   /** The shortest time from one watch request to the next, so that most of the request rate is left to others. */
   get minWatchIntervalMs(): number {
-    return (1000 * this.limits.controllerCount) / (this.limits.rps * WATCH_FRACTION);
+    return watchIntervalMs(this.limits);
   }
 
   /** Waits once for changes after `from`. Null: the service no longer has all of them; keys must be listed again. */
@@ -347,21 +321,6 @@
   }
 }
 
-const createLimiter = (limits: StateServiceLimits, clock: Clock): RateLimiter =>
-  new RateLimiter({
-    requestRates: {
-      max: (limits.rps / limits.controllerCount) * REQUEST_RATE_FRACTION,
-      min: (limits.minRps / limits.controllerCount) * REQUEST_RATE_FRACTION,
-    },
-    writeRates: {
-      max: (limits.writeRps / limits.controllerCount) * WRITE_RATE_FRACTION,
-      min: (limits.minWriteRps / limits.controllerCount) * WRITE_RATE_FRACTION,
-    },
-    maxQueued: MAX_QUEUED_REQUESTS,
-    maxBorrowFactor: Math.max(1, limits.controllerCount * MAX_BORROWED_FRACTION),
-    clock,
-  });
-
 /** The response to a request, whatever its status; throws `UnavailableError` on a refusal or a missing response. */
 function responseOf(result: RequestResult, request: string): HttpResponse {
   if (result.kind === 'answered') return result.response;
--- a/src/io/state/transaction-packing.ts
+++ b/src/io/state/transaction-packing.ts
@@ -10,7 +10,7 @@
   mergeChangeSets,
   type ChangeSet,
 } from './change-set.js';
-import type { StateServiceLimits } from './state-client.js';
+import type { StateServiceLimits } from './state-limits.js';
 import type { Guard, WriteOperation } from './state-messages.js';
 
 /** Maximum estimated size of a transaction, below the state service's limit of 64 KiB. */
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { MachineRooms } from '../src/controller/machine-rooms.js';
 import { RecordBudget } from '../src/controller/record-budget.js';
 import type { JobRecord } from '../src/core/model/jobs.js';
 import type { MachineRecord } from '../src/core/model/machines.js';
@@ -73,8 +74,8 @@
   const small = { vcpus: 0.01, cards: 0, memoryGb: 0.01 };
   const preemptor = job('wk-1', { shape: 'daemon', tier: 'production', shards: 1, ...small });
   const low = job('wk-2', { tier: 'low', shards: 751, ...small });
-  const budget = new RecordBudget(8 * 1024);
-  const roomOf = (each: MachineRecord) => budget.roomOf(each, null);
+  const rooms = new MachineRooms(new RecordBudget(8 * 1024));
+  const roomOf = (each: MachineRecord) => rooms.roomOf(each, null);
   const full = machine('n-1', [allocated(low, ...Array(751).keys())]);
   assert.ok(roomOf(full).reportBytes < 100, `the agent has ${roomOf(full).reportBytes} bytes left to report`);
   const victims = victimsFor(preemptor, [low], [full], roomOf)?.victims ?? [];
--- a/test/report-size.test.ts
+++ b/test/report-size.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { describe, it, test } from 'node:test';
 import fc from 'fast-check';
+import { MachineRooms } from '../src/controller/machine-rooms.js';
 import { RecordBudget } from '../src/controller/record-budget.js';
 import { agentCommands } from '../src/core/agents/agent-commands.js';
 import { newAgentSession, recordHeartbeat } from '../src/core/agents/agent-session.js';
@@ -24,7 +25,7 @@
 /** "A request body may be at most 64 KiB." */
 const MAX_REPORT_BYTES = 64 * 1024;
 const VALUE_BYTES = 8 * 1024;
-const budget = new RecordBudget(VALUE_BYTES);
+const rooms = new MachineRooms(new RecordBudget(VALUE_BYTES));
 /** Tasks so small that a machine has resources for 1,600 of them. */
 const SMALL_TASK = { vcpus: 0.01, cards: 0, memoryGb: 0.04 };
 const numbered = (count: number): number[] => [...Array(count).keys()];
@@ -69,7 +70,7 @@
 /** The number of tasks that one pass places on each of the machines, as the owner sees their records. */
 function placedOn(jobs: JobRecord[], machines: MachineRecord[], heartbeat: Heartbeat | null): number[] {
   const { placements } = placementPass(jobs, machines, {
-    roomOf: (each) => budget.roomOf(each, heartbeat),
+    roomOf: (each) => rooms.roomOf(each, heartbeat),
     maxPlacements: 10_000,
   });
   return machines.map(({ name }) => placements.filter((placement) => placement.machine.name === name).length);
@@ -171,8 +172,8 @@
   const rentedFor = (jobs: JobRecord[], machines: MachineRecord[]): number =>
     scalingPlan(jobs, machines, {
       isAvailable: () => true,
-      roomOf: (each) => budget.roomOf(each, null),
-      roomOfNewMachine: budget.roomOfNewMachine(),
+      roomOf: (each) => rooms.roomOf(each, null),
+      roomOfNewMachine: rooms.roomOfNewMachine(),
     }).rentals.length;
 
   for (const shape of ['ensemble', 'daemon', 'sweep'])
@@ -193,7 +194,7 @@
       'n-1',
       many.map((each) => allocated(each, 0)),
     );
-    assert.ok(budget.roomOf(full, null).recordBytes < 300, 'the record of the test is not full');
+    assert.ok(rooms.roomOf(full, null).recordBytes < 300, 'the record of the test is not full');
     assert.equal(rentedFor([job('wk-000001', { shards: 1, ...SMALL_TASK })], [full]), 1);
   });
 });
--- a/test/state-connection.ts
+++ b/test/state-connection.ts
@@ -2,7 +2,8 @@
 import type { Revision } from '../src/core/model/ids.js';
 import { ClusterView } from '../src/core/state/cluster-view.js';
 import type { Transport } from '../src/io/http-client.js';
-import { StateClient, type StateServiceLimits } from '../src/io/state/state-client.js';
+import { StateClient } from '../src/io/state/state-client.js';
+import type { StateServiceLimits } from '../src/io/state/state-limits.js';
 import { StateWatcher, type ViewContradiction } from '../src/io/state/state-watcher.js';
 import type { Budget } from './sim/request-bucket.js';
 import { StateService } from './sim/state-service.js';
