--- a/test/sim/simulated-agent.ts
+++ b/test/sim/simulated-agent.ts
@@ -122,8 +122,7 @@
   /** Ends the agent with its machine and all of its tasks. */
   terminate(): void {
     this.isTerminated = true;
-    for (const task of [...this.tasks.values()]) this.cluster.recordTaskExit(this, task, 'gone');
-    this.tasks.clear();
+    this.loseTasks('gone');
   }
 
   private runLeaseLoop(): void {
@@ -140,13 +139,21 @@
     const { time, agentTimings } = this.cluster;
     if (time.now - this.leaseStartedAt <= agentTimings.leaseS * 1000) return;
     this.cluster.tasksLostToLeaseExpiry += this.tasks.size;
-    for (const task of [...this.tasks.values()]) this.cluster.recordTaskExit(this, task, 'lease');
-    this.tasks.clear();
+    this.loseTasks('lease');
     this.agentEpoch++;
     this.leaseStartedAt = time.now;
     this.hasChanged = true;
   }
 
+  /** Forgets all tasks, with the results that no controller has confirmed. */
+  private loseTasks(exitCause: string): void {
+    for (const task of [...this.tasks.values()]) {
+      if (task.exitCause === 'done') task.job.mayLackResults = true;
+      this.cluster.recordTaskExit(this, task, exitCause);
+    }
+    this.tasks.clear();
+  }
+
   private runHeartbeatLoop(): void {
     if (this.isTerminated) return;
     const { time } = this.cluster;
--- a/test/sim/starved-jobs.ts
+++ b/test/sim/starved-jobs.ts
@@ -36,7 +36,7 @@
 /** Whether a task of the job is neither done nor on a machine; a gang starts as a whole. */
 function hasWaitingTask(id: string, job: SubmittedJob, { taskZones }: ClusterLoad): boolean {
   const onMachines = taskZones.get(id) ?? new Map<number, string>();
-  if (job.kind === 'ensemble') return onMachines.size === 0;
+  if (job.kind === 'ensemble' || isDone(job)) return onMachines.size === 0;
   for (let index = 0; index < job.tasks; index++)
     if (!onMachines.has(index) && !job.doneTasks.has(index)) return true;
   return false;
@@ -72,8 +72,16 @@
 /** Whether the job may run now: it is accepted, neither cancelled nor finished, and all of its dependencies are done. */
 function isRunnable({ submitted }: ObservedCluster, job: SubmittedJob): boolean {
   if (!job.accepted || job.isCancellationRequested || job.alwaysFails) return false;
-  if (job.observedFinalState !== null || isDone(job)) return false;
-  return job.needs.every((id) => isDone(submitted.get(id)!));
+  if (job.observedFinalState !== null || isKnownDone(job)) return false;
+  return job.needs.every((id) => isKnownDone(submitted.get(id)!));
+}
+
+/**
+ * Whether the controllers can know that the job is done. A job that has lost results has to run again where they were lost:
+ * until it is called done it counts as waiting itself, and those that depend on it do not.
+ */
+function isKnownDone(job: SubmittedJob): boolean {
+  return isDone(job) && (!job.mayLackResults || job.observedFinalState === 'done');
 }
 
 function isDone(job: SubmittedJob): boolean {
--- a/test/sim/submitted-job.ts
+++ b/test/sim/submitted-job.ts
@@ -13,6 +13,11 @@
   readonly alwaysFails: boolean;
   /** Indexes of the tasks that have ended successfully. */
   readonly doneTasks: Set<number>;
+  /**
+   * Whether a machine was lost, or an agent's lease ran out, while it still listed a successful task of the job: its result
+   * may be known to no controller, and the task then has to run again.
+   */
+  mayLackResults: boolean;
   /** Time of the first answer that reported the job as cancelled; null before it. */
   observedCancelledAt: number | null;
   /** Final state that was reported to the user, which must never change; null before it. */
@@ -39,6 +44,7 @@
     needs: [],
     ...submitted,
     doneTasks: new Set(),
+    mayLackResults: false,
     observedCancelledAt: null,
     observedFinalState: null,
     observedFinalAt: null,
