Heartbeats: one place allows an answer with 200, also while a shard is being acquired

Cause: from the answer to an acquisition until the watch reaches it, agents were answered before anything else was asked: neither whether the session may have ended, nor whether the agent has reported a higher token. Without a watch this never ended. Each path (holder, acquiring, proxy, isolated) asked by itself. An isolated controller that was acquiring also answered its own agents without the redirect that comes first.

Change: core/agents/answer-basis.ts is the only place that allows an answer, on the basis of the shard, the session, the contact with the state service and the agent's token; AnswerAuthority collects these and redirects the others, never to itself. Two log events say when a controller stops and resumes answering for its shards. The agents of an acquired shard are answered as early as before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -78,7 +78,7 @@
     });
     this.health = new HealthTracker(this.context, dependencies.random);
     this.membership = new Membership(this.context);
-    this.availability = new Availability(this.context, this.membership, peers);
+    this.availability = new Availability(this.context, peers);
     this.shardController = new ShardController(this.context, agents, this.health);
     const cloudClient = new CloudClient(cloud, settings.cloudLimits.rps, clock);
     this.leader = new Leader(this.context, this.membership, cloudClient);
--- a/src/controller/heartbeats/proxied-agents.ts
+++ b/src/controller/heartbeats/proxied-agents.ts
@@ -3,8 +3,8 @@
  *
  * An agent that a network partition separates from its owner would lose its tasks with its lease. A controller with
  * recent contact with the state service answers in the owner's place, under the machine's present fencing token and
- * without start commands. The token keeps this safe: once a new owner has shown the agent a higher one, the agent drops
- * such answers.
+ * without start commands. The token keeps this safe: once a new owner has shown the agent a higher one, the agent is no
+ * longer answered.
  */
 import { maxHeartbeatGapMs } from '../../core/agents/agent-timing.js';
 import type { Heartbeat } from '../../core/model/heartbeats.js';
@@ -63,12 +63,14 @@
     return this.agents.keys();
   }
 
-  /** Whether this controller answers the heartbeat as a proxy; if not, the agent is to be redirected to its owner. */
+  /**
+   * Whether this controller answers the heartbeat as a proxy; if not, the agent is to be redirected to its owner. The agent
+   * must not have seen a higher token than the machine's present one.
+   */
   shouldProxy(machine: MachineRecord, heartbeat: Heartbeat, { hasLiveOwner }: OwnerState): boolean {
     const { clock, view } = this.context;
     const now = clock.now();
     const token = view.fencingTokenOf(machine);
-    if (heartbeat.token > token) return false;
     const agent = this.agentForToken(machine.name, token);
     if (agent === undefined) {
       if (hasLiveOwner && !this.isSeparatedFromOwner(heartbeat, token)) return false;
--- a/src/controller/membership/availability.ts
+++ b/src/controller/membership/availability.ts
@@ -1,10 +1,9 @@
 /**
- * Decides what a controller may still do while the state service does not answer it. The controller alone cannot tell
- * whether the service is unreachable for all controllers or only for itself, so it asks its peers.
+ * Contact of a controller with the state service and its peers. The controller alone cannot tell whether the state service
+ * is unreachable for all controllers or only for itself, so it asks its peers.
  */
 import type { Peer } from '../../io/peers/peer.js';
 import type { ControllerContext } from '../controller-context.js';
-import type { Membership } from './membership.js';
 
 /** Interval at which contact with the state service is checked. */
 const CHECK_INTERVAL_MS = 700;
@@ -22,7 +21,7 @@
   readonly at: number;
 }
 
-/** Decides whether this controller may answer agents and users now. */
+/** Knows which of the state service and the peers this controller reaches now. */
 export class Availability {
   private lastPeerContact: PeerContact = { hasStateContact: true, at: Number.NEGATIVE_INFINITY };
   /**
@@ -33,20 +32,9 @@
 
   constructor(
     private readonly context: ControllerContext,
-    private readonly membership: Membership,
     private readonly peers: ReadonlyMap<string, Peer>,
   ) {}
 
-  /**
-   * Whether this controller may answer agents for its shard: its session has certainly not expired, or no controller
-   * reaches the state service, so that none can have acquired the shard. A controller that reaches neither the service
-   * nor any peer cannot rely on either condition: its agents have to turn to a controller that can act for them before
-   * their leases expire.
-   */
-  get mayAnswerAgents(): boolean {
-    return this.membership.hasValidLease || this.isStateOutage;
-  }
-
   /**
    * Whether users and the load balancer should use this controller. It stays healthy while no controller reaches the
    * state service: final states can still be answered, and taking all controllers out of service would only prolong the
@@ -74,8 +62,11 @@
     }
   }
 
-  /** Whether no peer has contact with the state service either and at least one said so recently; true without peers. */
-  private get isStateOutage(): boolean {
+  /**
+   * Whether no controller reaches the state service: no peer does, and at least one said so recently; true without peers.
+   * None can then acquire a shard.
+   */
+  get isStateOutage(): boolean {
     if (this.peers.size === 0) return true;
     const { hasStateContact, at } = this.lastPeerContact;
     return !hasStateContact && this.context.clock.now() - at < PEER_ANSWERS_VALID_MS;
--- a/src/controller/membership/membership.ts
+++ b/src/controller/membership/membership.ts
@@ -1,4 +1,5 @@
 /** This process's session and, if elected, its leadership; both records are bound to one lease of the state service. */
+import type { SessionStatus } from '../../core/agents/answer-basis.js';
 import { UnavailableError } from '../../core/errors.js';
 import { LOG_EVENT } from '../../core/log-events.js';
 import type { LeaderRecord, SessionRecord, ShardRecord } from '../../core/model/cluster.js';
@@ -46,6 +47,11 @@
     return this.lease !== null && this.context.clock.now() < this.leaseValidUntil;
   }
 
+  /** Status of the session. */
+  get sessionStatus(): SessionStatus {
+    return this.hasValidLease ? 'valid' : 'lapsed';
+  }
+
   /** The id of the lease to which this process's own records may be bound; null unless it has certainly not expired. */
   get currentLease(): number | null {
     return this.hasValidLease ? this.lease : null;
--- a/src/controller/shard-ownership.ts
+++ b/src/controller/shard-ownership.ts
@@ -1,4 +1,5 @@
 /** Which controller holds which shard, according to this process's view. */
+import type { ShardHolding } from '../core/agents/answer-basis.js';
 import type { Incarnation, NodeName, TeamName } from '../core/model/ids.js';
 import type { MachineRecord } from '../core/model/machines.js';
 import type { ClusterView } from '../core/state/cluster-view.js';
@@ -20,9 +21,10 @@
     return this.view.isHeldBy(member.owner, this.incarnation);
   }
 
-  /** Whether this process has acquired the member's shard, but its view may lack commits of the previous holder. */
-  isAcquiring(member: ShardMember): boolean {
-    return this.view.shards.get(member.owner)?.incarnation === this.incarnation && !this.owns(member);
+  /** How far this process holds the member's shard. */
+  holdingOf(member: ShardMember): ShardHolding {
+    if (this.view.shards.get(member.owner)?.incarnation !== this.incarnation) return 'none';
+    return this.owns(member) ? 'complete' : 'acquiring';
   }
 
   /** Whether this process holds the shard that schedules the team. */
--- a/src/controller/shard/agent-sessions.ts
+++ b/src/controller/shard/agent-sessions.ts
@@ -8,7 +8,7 @@
 import type { DesiredState } from '../../core/agents/desired-state.js';
 import { taskKey } from '../../core/agents/task-key.js';
 import { LOG_EVENT } from '../../core/log-events.js';
-import type { AgentCommand, Heartbeat, HeartbeatReply } from '../../core/model/heartbeats.js';
+import type { AgentCommand, Heartbeat } from '../../core/model/heartbeats.js';
 import { taskId, type FencingToken, type MachineName } from '../../core/model/ids.js';
 import type { MachineRecord } from '../../core/model/machines.js';
 import type { MonotonicMs } from '../../core/model/time.js';
@@ -80,20 +80,18 @@
   }
 
   /**
-   * Records a heartbeat of an owned machine and returns the reply to its agent. An agent that has seen a higher fencing
-   * token than this controller knows of is redirected: the machine has a newer owner.
+   * Records a heartbeat of an owned machine, whose agent has not seen a higher fencing token than the machine's present
+   * one, and returns the commands for the agent.
    */
-  answerHeartbeat(machine: MachineRecord, heartbeat: Heartbeat): HeartbeatReply {
+  commandsFor(machine: MachineRecord, heartbeat: Heartbeat): readonly AgentCommand[] {
     const { context } = this;
     const session = this.current(machine);
-    const { token } = session;
-    if (heartbeat.token > token) return { kind: 'redirect', node: null };
     const isFirst = session.heartbeat === null;
     const now = context.clock.now();
     const arrival = { now, isPushed: true, heartbeatIntervalMs: this.heartbeatIntervalMs };
     // The heartbeat is late or was overtaken by the answer to a direct message. The agent keeps its lease and gets no
     // commands.
-    if (!recordHeartbeat(session, heartbeat, arrival)) return { kind: 'ok', token, commands: [] };
+    if (!recordHeartbeat(session, heartbeat, arrival)) return [];
     if (context.events.isActive) context.events.emit({ kind: 'heartbeat_recorded', heartbeat });
     const desired = this.desiredState();
     const needsReconcile = isFirst || machine.phase === 'booting' || heartbeat.preemptionNoticeS !== null;
@@ -101,8 +99,8 @@
       this.onObservation({ machine: machine.name, isNewlyAvailable: isFirst });
     const mayStart = machine.phase !== 'releasing';
     const commands = agentCommands({ machine, session, desired, now, mayStart });
-    this.logCommands(machine.name, token, commands);
-    return { kind: 'ok', token, commands };
+    this.logCommands(machine.name, session.token, commands);
+    return commands;
   }
 
   /**
--- a/src/controller/shard/shard-controller.ts
+++ b/src/controller/shard/shard-controller.ts
@@ -4,7 +4,7 @@
  * time.
  */
 import { LOG_EVENT } from '../../core/log-events.js';
-import type { Heartbeat, HeartbeatReply } from '../../core/model/heartbeats.js';
+import type { AgentCommand, Heartbeat } from '../../core/model/heartbeats.js';
 import type { JobId, MachineName } from '../../core/model/ids.js';
 import type { MachineRecord } from '../../core/model/machines.js';
 import type { WaitReason } from '../../core/placement/placement-types.js';
@@ -87,9 +87,9 @@
     return this.placementPass.waitReasons;
   }
 
-  /** Records a heartbeat of an owned machine and returns the reply to its agent. */
-  answerHeartbeat(machine: MachineRecord, heartbeat: Heartbeat): HeartbeatReply {
-    return this.sessions.answerHeartbeat(machine, heartbeat);
+  /** Records a heartbeat of an owned machine and returns the commands for its agent. */
+  commandsFor(machine: MachineRecord, heartbeat: Heartbeat): readonly AgentCommand[] {
+    return this.sessions.commandsFor(machine, heartbeat);
   }
 
   /** Begins the cancellation of a job of an owned team with the next pass. */
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -9,6 +9,13 @@
    * `lease`.
    */
   sessionLeaseExpired: 'session lease expired',
+  /**
+   * Level `info`. This controller no longer answers the agents of shards that it holds, since its session may have
+   * ended and other controllers reach the state service: it redirects them. Fields: `holding`, `session`.
+   */
+  agentAnswersSuspended: 'agent answers suspended',
+  /** Level `info`. This controller answers the agents of its shards again. Fields: `holding`, `session`. */
+  agentAnswersResumed: 'agent answers resumed',
   /** Level `info`. This controller has become the leader. Fields: `lease`. */
   leadershipAcquired: 'leadership acquired',
   /**
--- a/test/sim.test.ts
+++ b/test/sim.test.ts
@@ -118,7 +118,8 @@
       node.unreachable.add('state').add('peers');
       await simulation.time.runUntil(simulation.time.now + 12_000);
       assert.equal(node.controller!.availability.isHealthy, false);
-      assert.equal(node.controller!.availability.mayAnswerAgents, false);
+      assert.equal(node.controller!.membership.hasValidLease, false);
+      assert.equal(node.controller!.availability.isStateOutage, false);
       const [openJob] = [...simulation.cluster.submitted].find(
         ([, j]) => j.accepted && j.observedFinalState === null,
       )!;
--- a/test/sim/agent-network.ts
+++ b/test/sim/agent-network.ts
@@ -74,6 +74,7 @@
     }
     clock.run(() => {
       const response = answerOf(controller, heartbeat);
+      this.expectUsableAnswer(node, heartbeat, response);
       simulation.observe(node, `agent ${agent.name}`, response);
       simulation.time.after(this.delayMs(), () => {
         if (!clock.isDead && this.hasInboundPath(agent, node)) done(response);
@@ -84,6 +85,20 @@
     });
   }
 
+  /**
+   * An agent stays with a controller that answers it 200, also if it drops the answer because of its token, and so loses its
+   * lease there. A controller that has been told of a higher token must not answer.
+   */
+  private expectUsableAnswer(node: string, heartbeat: Json, { status, body }: HttpResponse): void {
+    if (status !== 200) return;
+    const { mandate } = body as { mandate: number };
+    const seen = Number(heartbeat['mandate']);
+    if (mandate < seen)
+      this.simulation.fail(
+        new Error(`${node} answered 200 with token ${mandate}, although the agent has seen ${seen}`),
+      );
+  }
+
   private hasOutboundPath(agent: SimulatedAgent, node: string): boolean {
     return this.isReachable(agent, node) && !agent.isOutboundPartitioned;
   }
--- a/test/sim/controller-connections.ts
+++ b/test/sim/controller-connections.ts
@@ -14,6 +14,8 @@
 
 /** Interval at which a request to the state service that a partition holds back is sent again. */
 const STATE_RETRY_MS = 700;
+/** Interval at which an answer of the watch that is held back is checked again. */
+const HELD_WATCH_CHECK_MS = 20;
 /** Simulated time after which no request to the state service is randomly lost or slow, so that all jobs can finish. */
 const UNRELIABLE_UNTIL_MS = 90_000;
 const LOSS_PROBABILITY = 0.002;
@@ -72,7 +74,7 @@
       this.simulation.observe(this.node.name, 'state watch', { method, path, body });
       const answer = () => {
         state.watch(path, (response) => {
-          this.respondFromState(this.node.watchLagMs, respond, response);
+          this.respondToWatch(respond, response);
         });
       };
       time.after(time.int(1, 12), () => {
@@ -94,6 +96,21 @@
     });
   }
 
+  /** Delivers the watch's answer once nothing holds it back, even if its receiver no longer waits for it. */
+  private respondToWatch(respond: (response: HttpResponse) => void, response: HttpResponse): void {
+    const { node, simulation } = this;
+    const deliver = (answer: HttpResponse) => {
+      if (!node.isWatchHeldBack) respond(answer);
+      else
+        simulation.time.after(HELD_WATCH_CHECK_MS, () => {
+          this.clock.run(() => {
+            deliver(answer);
+          });
+        });
+    };
+    this.respondFromState(node.watchLagMs, deliver, response);
+  }
+
   private respondFromState(
     lagMs: number,
     respond: (response: HttpResponse) => void,
--- a/test/sim/state-service.ts
+++ b/test/sim/state-service.ts
@@ -40,6 +40,8 @@
    * of a transaction are applied, so that no controller may rely on it.
    */
   readonly keysChangedTwice: string[] = [];
+  /** Called after each transaction was applied, before its sender has the answer. */
+  onApplied: (changes: readonly Json[]) => void = () => undefined;
   private hasOutage = false;
   private readonly leases: LeaseTable;
   private readonly changeLog = new ChangeLog();
@@ -212,6 +214,7 @@
       else if (this.rows.delete(key))
         this.changeLog.append({ key, revision: this.revision, value: undefined });
     }
+    this.onApplied(changes);
     this.changeLog.notify();
   }
 
