Heartbeats: a new session does not count for shards that an earlier one held

Cause: a valid session was taken as proof that the shards of the view are still held. It proves that only for shards that were acquired under the same session.

Change: Membership remembers at which version its present session began. The session counts for a shard that was acquired later, or once the view has reached that version; for a proxy, which holds nothing, only the latter. A restart acquires its shard after its session has begun, so that its first answers are not delayed.

--- a/src/controller/heartbeats/answer-authority.ts
+++ b/src/controller/heartbeats/answer-authority.ts
@@ -5,8 +5,9 @@
 import { answerBasis, type AnswerBasis, type ControllerStanding } from '../../core/agents/answer-basis.js';
 import { LOG_EVENT } from '../../core/log-events.js';
 import type { Heartbeat } from '../../core/model/heartbeats.js';
-import type { FencingToken, MachineName, NodeName } from '../../core/model/ids.js';
+import { NO_VERSION, type FencingToken, type MachineName, type NodeName } from '../../core/model/ids.js';
 import type { MachineRecord } from '../../core/model/machines.js';
+import { key } from '../../core/records/keys.js';
 import type { ControllerContext } from '../controller-context.js';
 import type { Availability } from '../membership/availability.js';
 import type { Membership } from '../membership/membership.js';
@@ -67,10 +68,12 @@
 
   private standingFor(machine: MachineRecord, heartbeat: Heartbeat, token: FencingToken): ControllerStanding {
     const { availability, context, membership } = this;
-    const { clock, ownership, state } = context;
+    const { clock, ownership, state, view } = context;
+    const holding = ownership.holdingOf(machine);
+    const acquiredAt = holding === 'none' ? NO_VERSION : view.versionOf(key.shard(machine.owner));
     return {
-      holding: ownership.holdingOf(machine),
-      session: membership.sessionStatus,
+      holding,
+      session: membership.sessionStatus(acquiredAt),
       hasStateContact: clock.now() - state.lastContactAt < STATE_FRESH_MS,
       isStateOutage: availability.isStateOutage,
       isIsolated: availability.isIsolated,
--- a/src/controller/membership/membership.ts
+++ b/src/controller/membership/membership.ts
@@ -3,6 +3,7 @@
 import { UnavailableError } from '../../core/errors.js';
 import { LOG_EVENT } from '../../core/log-events.js';
 import type { LeaderRecord, SessionRecord, ShardRecord } from '../../core/model/cluster.js';
+import type { Version } from '../../core/model/ids.js';
 import type { MonotonicMs } from '../../core/model/time.js';
 import { key } from '../../core/records/keys.js';
 import type { ViewChanges } from '../../core/state/view-changes.js';
@@ -21,6 +22,13 @@
 /** Longest wait until the view shows what a transaction conflicted with. */
 const CONFLICT_VIEW_TIMEOUT_MS = 1000;
 
+/** The beginning of this process's session, as its view shows it. */
+interface SessionStart {
+  readonly lease: number;
+  /** Version of the first record of the session under this lease. */
+  readonly version: Version;
+}
+
 /** Keeps this process's session alive, acquires its own shard, and takes the leadership while no other has it. */
 export class Membership {
   /**
@@ -30,6 +38,8 @@
   readonly sessionsFirstSeen = new Map<string, MonotonicMs>();
   private readonly notification: Notification;
   private lease: number | null = null;
+  /** The latest session that the view has shown; null while it shows none of this process. */
+  private sessionStart: SessionStart | null = null;
   /** The lease has certainly not expired before this time, which is counted from when the renewal was sent. */
   private leaseValidUntil = Number.NEGATIVE_INFINITY;
   /** Until when this process is draining: it hands over its shards and should be assigned none. */
@@ -47,8 +57,15 @@
     return this.lease !== null && this.context.clock.now() < this.leaseValidUntil;
   }
 
-  /** Status of the session. */
-  get sessionStatus(): SessionStatus {
+  /**
+   * Status of the session with regard to a shard that this process acquired at version `acquiredAt`. A shard is assigned
+   * to another controller once its holder has no session, and a later session does not bring it back: the later session
+   * counts only for shards that were acquired under it, or once the view has all changes from before it.
+   */
+  sessionStatus(acquiredAt: Version): SessionStatus {
+    const { lease, sessionStart } = this;
+    if (lease === null || sessionStart?.lease !== lease) return 'ended';
+    if (Math.max(acquiredAt, this.context.view.revision) < sessionStart.version) return 'ended';
     return this.hasValidLease ? 'valid' : 'lapsed';
   }
 
@@ -89,12 +106,22 @@
   private observeSessions({ leader, sessions }: ViewChanges): void {
     const { view, settings, clock } = this.context;
     if (leader || sessions.has(settings.node)) this.notification.notify();
+    if (sessions.has(settings.node)) this.updateSessionStart();
     for (const node of view.sessions.keys())
       if (!this.sessionsFirstSeen.has(node)) this.sessionsFirstSeen.set(node, clock.now());
     for (const node of [...this.sessionsFirstSeen.keys()])
       if (!view.sessions.has(node)) this.sessionsFirstSeen.delete(node);
   }
 
+  /** A later record of the same session, which marks the controller as draining, does not change when it began. */
+  private updateSessionStart(): void {
+    const { view, settings, incarnation } = this.context;
+    const record = view.sessions.get(settings.node);
+    if (record?.incarnation !== incarnation) this.sessionStart = null;
+    else if (this.sessionStart?.lease !== record.lease)
+      this.sessionStart = { lease: record.lease, version: view.versionOf(key.session(settings.node)) };
+  }
+
   private get isDraining(): boolean {
     return this.context.clock.now() < this.drainingUntil;
   }
--- a/src/core/agents/answer-basis.ts
+++ b/src/core/agents/answer-basis.ts
@@ -18,7 +18,9 @@
   /** The session has certainly not expired. */
   | 'valid'
   /** The session may have expired: its renewal has not been answered in time. */
-  | 'lapsed';
+  | 'lapsed'
+  /** There is no session, or it began after the shard was acquired and the view is older than the session. */
+  | 'ended';
 
 /** What a controller knows when a heartbeat arrives. */
 export interface ControllerStanding {
@@ -60,5 +62,5 @@
 
 /** Whether no other controller can have acquired the shard since this one did. */
 function mayActAsHolder({ session, isStateOutage }: ControllerStanding): boolean {
-  return session === 'valid' || isStateOutage;
+  return session === 'valid' || (session === 'lapsed' && isStateOutage);
 }
--- a/test/stale-answers.test.ts
+++ b/test/stale-answers.test.ts
@@ -208,6 +208,16 @@
 
 describe('a former holder with an old view', () => {
   for (const seed of SEEDS) {
+    // A session that is opened again is valid, but says nothing about the shards that the earlier session held.
+    it(`does not answer under a new session before its view shows what happened, seed ${seed}`, async () => {
+      const { simulation, agent, node, token } = await runWithHolder(seed);
+      refuse(node);
+      await advance(simulation, SESSION_MS + TAKEOVER_MS);
+      assert.notEqual(holderOfMachine(simulation, agent), node.name);
+      node.isRefusedByState = false;
+      await expectNoAnswers(simulation, node, { agent, token, ms: 3000 });
+    });
+
     // Heartbeats that have arrived during the pause are read before any timer runs.
     it(`does not answer after a pause that began as it acquired its shard, seed ${seed}`, async () => {
       const { simulation, agent, node, token } = await runWithHolder(seed);
