--- a/test/sim/controller-connections.ts
+++ b/test/sim/controller-connections.ts
@@ -253,6 +253,7 @@
     return {
       hasStateContact: (timeoutMs) => {
         observe('contact');
+        this.node.onContactAsked();
         return this.askPeer({ name, timeoutMs, delayMs: delayMs() }, (peer) =>
           Promise.resolve(peer.context.state.isReachable(STATE_CONTACT_MS)),
         );
--- a/test/sim/simulated-controller.ts
+++ b/test/sim/simulated-controller.ts
@@ -51,6 +51,8 @@
   readonly unreachable = new Set<Dependency>();
   /** Whether the state service refuses the controller's requests, other than watch requests. */
   isRefusedByState = false;
+  /** Called when the controller asks another one whether it has contact with the state service. */
+  onContactAsked: () => void = () => undefined;
   /** Whether the watch's answers are held back, as while the state service refuses this controller alone. */
   isWatchHeldBack = false;
   /** Additional delay of the watch's answers to the controller. */
--- a/test/stale-answers.test.ts
+++ b/test/stale-answers.test.ts
@@ -218,6 +218,20 @@
       await expectNoAnswers(simulation, node, { agent, token, ms: 3000 });
     });
 
+    // What the peers answered before the pause is read after it, together with the heartbeats.
+    it(`does not rely on what its peers said before it was paused, seed ${seed}`, async () => {
+      const { simulation, agent, node, token } = await runWithHolder(seed);
+      simulation.state.setOutage(true);
+      await advanceUntil(simulation, () => node.controller!.availability.isStateOutage, TAKEOVER_MS);
+      await pauseWhilePeersAnswer(simulation, node);
+      simulation.state.setOutage(false);
+      refuse(node);
+      await advance(simulation, SESSION_MS + TAKEOVER_MS);
+      assert.notEqual(holderOfMachine(simulation, agent), node.name);
+      node.clock.resume();
+      await expectNoAnswers(simulation, node, { agent, token, ms: 3000 });
+    });
+
     // Heartbeats that have arrived during the pause are read before any timer runs.
     it(`does not answer after a pause that began as it acquired its shard, seed ${seed}`, async () => {
       const { simulation, agent, node, token } = await runWithHolder(seed);
@@ -232,6 +246,16 @@
   }
 });
 
+/** Pauses the controller after its next question to its peers, before it has their answers. */
+async function pauseWhilePeersAnswer(simulation: Simulation, node: SimulatedController): Promise<void> {
+  let isPaused = false;
+  node.onContactAsked = () => {
+    isPaused = true;
+    node.clock.pause();
+  };
+  await advanceUntil(simulation, () => isPaused, TAKEOVER_MS);
+}
+
 describe('a controller that has acquired a shard', () => {
   for (const seed of SEEDS)
     // Otherwise each restart would cost the agents a second or more, beside the time of the failover.
