Scaling: RentalOption is defined with the other types, so that no modules import each other

Cause: packing-bins.ts and rental-options.ts imported each other, the only circle in src; one direction was a type. Change: the type moves to scaling-types.ts.

--- a/src/core/scaling/packing-bins.ts
+++ b/src/core/scaling/packing-bins.ts
@@ -5,8 +5,7 @@
 import { MinimalDemands } from '../model/minimal-demands.js';
 import { addResources, tasksThatFit, type ResourceVector } from '../model/resources.js';
 import { roomAfter, tasksWithinRoom, type MachineRoom } from '../records/machine-room.js';
-import type { RentalOption } from './rental-options.js';
-import type { PackingBin, ScalingInput } from './scaling-types.js';
+import type { PackingBin, RentalOption, ScalingInput } from './scaling-types.js';
 
 /** A bin whose machine has a record. */
 export type MachineBin = PackingBin & { readonly machine: MachineRecord };
--- a/src/core/scaling/packing-state.ts
+++ b/src/core/scaling/packing-state.ts
@@ -15,12 +15,13 @@
   rentalBin,
   tasksThatFitInto,
 } from './packing-bins.js';
-import { chooseRentalOption, rentalOptions, type RentalOption } from './rental-options.js';
+import { chooseRentalOption, rentalOptions } from './rental-options.js';
 import type {
   BinMove,
   MachineMove,
   PackingBin,
   PendingDemand,
+  RentalOption,
   RentalRequest,
   ScalingInput,
   ScalingPlan,
--- a/src/core/scaling/rental-options.ts
+++ b/src/core/scaling/rental-options.ts
@@ -2,20 +2,12 @@
 import { allowsMachine, maxTasksPerZone } from '../jobs/feasibility.js';
 import type { Zone } from '../model/ids.js';
 import type { JobSpec } from '../model/jobs.js';
-import type { MachineType } from '../model/machines.js';
 import { tasksThatFitInto } from './packing-bins.js';
-import type { PendingDemand, ScalingInput } from './scaling-types.js';
+import type { PendingDemand, RentalOption, ScalingInput } from './scaling-types.js';
 
 /** Options whose prices differ by less than this factor count as equally expensive. */
 const PRICE_TOLERANCE = 1.001;
 
-/** A machine type in one zone, rented as a spot or an on-demand machine. */
-export interface RentalOption {
-  readonly type: MachineType;
-  readonly zone: Zone;
-  readonly spot: boolean;
-}
-
 /** The options for the job that the cloud has available now, in ascending order of price per task. */
 export function rentalOptions(spec: JobSpec, input: ScalingInput): RentalOption[] {
   const options: (RentalOption & { cost: number })[] = [];
--- a/src/core/scaling/scaling-types.ts
+++ b/src/core/scaling/scaling-types.ts
@@ -13,6 +13,13 @@
   readonly shard: NodeName;
 }
 
+/** A machine type in one zone, rented as a spot or an on-demand machine. */
+export interface RentalOption {
+  readonly type: MachineType;
+  readonly zone: Zone;
+  readonly spot: boolean;
+}
+
 /** The state from which a scaling plan is made. */
 export interface ScalingInput {
   /** Jobs that may be given machines; those that are not active, or whose team has no shard, are skipped. */
