--- a/src/controller/shard/agent-sessions.ts
+++ b/src/controller/shard/agent-sessions.ts
@@ -3,7 +3,12 @@
  * fencing tokens and stop commands. Sessions are kept in memory only: losing them causes delay, never a wrong decision.
  */
 import { agentCommands } from '../../core/agents/agent-commands.js';
-import { newAgentSession, recordHeartbeat, type AgentSession } from '../../core/agents/agent-session.js';
+import {
+  hasShownToken,
+  newAgentSession,
+  recordHeartbeat,
+  type AgentSession,
+} from '../../core/agents/agent-session.js';
 import { confirmedExits } from '../../core/agents/confirmed-exits.js';
 import type { DesiredState } from '../../core/agents/desired-state.js';
 import { taskKey } from '../../core/agents/task-key.js';
@@ -140,7 +145,7 @@
     heartbeat: Heartbeat | null,
     desired: DesiredState,
   ): AgentCommand[] | null {
-    if (session.heartbeat?.token === session.token) {
+    if (hasShownToken(session)) {
       const stops = this.dueStops(machine, session, desired);
       return stops.length === 0 ? null : stops;
     }
--- a/src/controller/shard/machine-reconciler.ts
+++ b/src/controller/shard/machine-reconciler.ts
@@ -2,7 +2,7 @@
  * Decides which changes the records of machines need: for tasks that have exited, for machines that have booted, drain
  * or are unreachable, and for tasks that are stopped on the preemption notice of a spot machine.
  */
-import type { AgentSession } from '../../core/agents/agent-session.js';
+import { hasShownToken, type AgentSession } from '../../core/agents/agent-session.js';
 import { confirmedExits, type TaskExit } from '../../core/agents/confirmed-exits.js';
 import type { DesiredState } from '../../core/agents/desired-state.js';
 import { taskKey } from '../../core/agents/task-key.js';
@@ -20,9 +20,9 @@
 import {
   CLEANUP_DELAY_EMPTY_MS,
   CLEANUP_DELAY_SPARE_MS,
-  FULL_RECONCILE_INTERVAL_MS,
   LARGE_BATCH_TASKS,
   MAX_CLEANUP_DELAY_MS,
+  firstContactDelayMs,
 } from './timing.js';
 import { TokenRecorder } from './token-recorder.js';
 
@@ -110,7 +110,7 @@
     return {
       ...(address === undefined ? {} : { address }),
       ...(images.length === 0 ? {} : { images }),
-      ...(session.heartbeat?.token === session.token ? { heard: session.token } : {}),
+      ...(hasShownToken(session) ? { heard: session.token } : {}),
     };
   }
 
@@ -241,8 +241,8 @@
     const { hasSpareBudget } = state;
     const delayMs = cleanupDelayMs({ hasSpareBudget, isEmpty: remaining.length === 0 });
     if (removableExits.some((exit) => now - exitedAt(session, exit) > delayMs)) return true;
-    const bootDelayMs = hasSpareBudget ? FULL_RECONCILE_INTERVAL_MS : CLEANUP_DELAY_EMPTY_MS;
-    return hasBooted && now - session.firstHeartbeatAt! > bootDelayMs;
+    if (!hasBooted) return false;
+    return now - session.firstHeartbeatAt! > firstContactDelayMs(hasSpareBudget, CLEANUP_DELAY_EMPTY_MS);
   }
 
   private changeSetFor(value: MachineRecord, urgency: ChangeUrgency): ChangeSet {
--- a/src/controller/shard/timing.ts
+++ b/src/controller/shard/timing.ts
@@ -18,3 +18,10 @@
  * empty machine can serve another shard or be released.
  */
 export const CLEANUP_DELAY_EMPTY_MS = 3000;
+
+/**
+ * Milliseconds for which a change that only records first contact with a machine waits for another one to write along
+ * with; `whileBudgetIsShortMs` is used while there is no write budget to spare.
+ */
+export const firstContactDelayMs = (hasSpareBudget: boolean, whileBudgetIsShortMs: number): number =>
+  hasSpareBudget ? FULL_RECONCILE_INTERVAL_MS : whileBudgetIsShortMs;
--- a/src/controller/shard/token-recorder.ts
+++ b/src/controller/shard/token-recorder.ts
@@ -7,13 +7,18 @@
  * of all its machines are new. They are recorded as far as jobs of other shards could use the machines, and in a fraction
  * of the write budget.
  */
-import type { AgentSession } from '../../core/agents/agent-session.js';
+import { hasShownToken, type AgentSession } from '../../core/agents/agent-session.js';
 import type { MachineRecord } from '../../core/model/machines.js';
 import { MinimalDemands } from '../../core/model/minimal-demands.js';
 import type { MonotonicMs } from '../../core/model/time.js';
 import { startableTasks } from '../../core/scaling/pending-demand.js';
 import type { ControllerContext } from '../controller-context.js';
-import { CLEANUP_DELAY_EMPTY_MS, FULL_RECONCILE_INTERVAL_MS, MAX_CLEANUP_DELAY_MS } from './timing.js';
+import {
+  CLEANUP_DELAY_EMPTY_MS,
+  FULL_RECONCILE_INTERVAL_MS,
+  MAX_CLEANUP_DELAY_MS,
+  firstContactDelayMs,
+} from './timing.js';
 
 /** Time for which a job of another shard must have waited: most jobs start on a machine of their own shard by then. */
 const MIN_WAIT_MS = 15_000;
@@ -50,19 +55,20 @@
 
   /** Whether the token is to be recorded in this pass; if so, it counts against the allowance. */
   isDue(machine: MachineRecord, session: AgentSession): boolean {
-    const hasShownToken = session.heartbeat?.token === session.token;
-    if (!hasShownToken || (machine.heard ?? 0) >= session.token) return false;
-    const knownMs = this.context.clock.now() - session.firstHeartbeatAt!;
+    if (!hasShownToken(session) || (machine.heard ?? 0) >= session.token) return false;
+    const { clock, state } = this.context;
+    const knownMs = clock.now() - session.firstHeartbeatAt!;
     // An empty machine is of use to any shard, and can be released.
-    if (machine.placed.length === 0) return knownMs > this.delayMs(CLEANUP_DELAY_EMPTY_MS);
+    if (machine.placed.length === 0)
+      return knownMs > firstContactDelayMs(state.hasSpareBudget, CLEANUP_DELAY_EMPTY_MS);
     if (this.allowance < 1 || !this.isWanted(machine, knownMs)) return false;
     this.allowance--;
     return true;
   }
 
   private isWanted(machine: MachineRecord, knownMs: number): boolean {
-    if (knownMs <= this.delayMs(MAX_CLEANUP_DELAY_MS)) return false;
-    const { allocations, view } = this.context;
+    const { allocations, state, view } = this.context;
+    if (knownMs <= firstContactDelayMs(state.hasSpareBudget, MAX_CLEANUP_DELAY_MS)) return false;
     this.updateDemands();
     if (this.demands.anyWithin(allocations.current().freeByMachine.get(machine.name)!)) return true;
     // Machines that run only arrays are moved to stop them for others, or to divide the fleet anew.
@@ -72,10 +78,6 @@
     return type !== undefined && this.demands.anyWithin(type.capacity);
   }
 
-  private delayMs(whileBudgetIsShortMs: number): number {
-    return this.context.state.hasSpareBudget ? FULL_RECONCILE_INTERVAL_MS : whileBudgetIsShortMs;
-  }
-
   /** Collects what the waiting jobs of other shards need. */
   private updateDemands(): void {
     const { allocations, clock, dependencies, ownership } = this.context;
--- a/src/core/agents/agent-session.ts
+++ b/src/core/agents/agent-session.ts
@@ -54,6 +54,13 @@
   readonly exitedTasks: Map<string, ExitedTask>;
 }
 
+/** A session whose agent has shown the session's fencing token in its newest heartbeat. */
+export type EstablishedSession = AgentSession & { readonly heartbeat: Heartbeat };
+
+/** Whether the newest heartbeat of the agent has the session's fencing token: the agent has heard from this owner. */
+export const hasShownToken = (session: AgentSession): session is EstablishedSession =>
+  session.heartbeat?.token === session.token;
+
 /** How a heartbeat arrived. */
 export interface HeartbeatArrival {
   readonly now: MonotonicMs;
--- a/src/core/agents/confirmed-exits.ts
+++ b/src/core/agents/confirmed-exits.ts
@@ -8,7 +8,7 @@
 import type { ExitReason, ReportedTask } from '../model/heartbeats.js';
 import type { TaskIndex } from '../model/ids.js';
 import type { Allocation, MachineRecord } from '../model/machines.js';
-import { isNewer, type AgentSession } from './agent-session.js';
+import { hasShownToken, isNewer, type AgentSession } from './agent-session.js';
 import { MAX_ANSWER_AGE_MS } from './agent-timing.js';
 import { stopReasonFor, type DesiredState } from './desired-state.js';
 import { reportedTasksByKey, taskKey } from './task-key.js';
@@ -27,9 +27,8 @@
   session: AgentSession,
   desired: DesiredState,
 ): TaskExit[] {
-  const { heartbeat } = session;
-  if (heartbeat?.token !== session.token) return [];
-  const reported = reportedTasksByKey(heartbeat);
+  if (!hasShownToken(session)) return [];
+  const reported = reportedTasksByKey(session.heartbeat);
   const exits: TaskExit[] = [];
   for (const allocation of machine.placed) {
     for (const index of allocation.tasks) {
