Answer authority: the log goes by the same rule as the answers

Cause: what the log called suspended was computed beside answerBasis, and differed from it for an ended session in an outage. Change: mayActAsHolder is used for both.

--- a/src/controller/heartbeats/answer-authority.ts
+++ b/src/controller/heartbeats/answer-authority.ts
@@ -2,7 +2,12 @@
  * Decides which heartbeats this controller answers with 200, and where it redirects the other agents. All answers with 200
  * are decided here, on the bases that `core/agents/answer-basis.ts` allows.
  */
-import { answerBasis, type AnswerBasis, type ControllerStanding } from '../../core/agents/answer-basis.js';
+import {
+  answerBasis,
+  mayActAsHolder,
+  type AnswerBasis,
+  type ControllerStanding,
+} from '../../core/agents/answer-basis.js';
 import { LOG_EVENT } from '../../core/log-events.js';
 import type { Heartbeat } from '../../core/model/heartbeats.js';
 import { NO_VERSION, type FencingToken, type MachineName, type NodeName } from '../../core/model/ids.js';
@@ -33,7 +38,7 @@
   /** Latest redirects of agents to other controllers. */
   private readonly redirectTimes: AgentTimestamps;
   private readonly soleContacts: SoleContacts;
-  /** Whether the latest agent of a shard that this controller holds was not answered, since its session may have ended. */
+  /** Whether this controller could not act as the holder when the latest agent of one of its shards sent a heartbeat. */
   private isSuspended = false;
 
   constructor(
@@ -59,7 +64,7 @@
     const standing = this.standingFor(machine, heartbeat, token);
     this.logSuspension(standing);
     const basis = answerBasis(standing);
-    if (basis === null || !this.isAllowed(basis, machine, heartbeat))
+    if (basis === null || !this.isAllowed(basis, machine, heartbeat, token))
       return { kind: 'redirect', node: this.redirect(machine, standing, token) };
     if (basis !== 'proxy') this.redirectTimes.delete(machine.name);
     if (basis === 'holder') this.soleContacts.forget(machine.name);
@@ -82,15 +87,19 @@
   }
 
   /** Whether the agent's earlier heartbeats allow an answer on this basis. */
-  private isAllowed(basis: AnswerBasis, machine: MachineRecord, heartbeat: Heartbeat): boolean {
-    const { ownership, view } = this.context;
+  private isAllowed(
+    basis: AnswerBasis,
+    machine: MachineRecord,
+    heartbeat: Heartbeat,
+    token: FencingToken,
+  ): boolean {
     switch (basis) {
       case 'proxy':
         return this.proxiedAgents.shouldProxy(machine, heartbeat, {
-          hasLiveOwner: ownership.holderOf(machine) !== null,
+          hasLiveOwner: this.context.ownership.holderOf(machine) !== null,
         });
       case 'sole_contact':
-        return this.soleContacts.isSoleContact(machine, heartbeat, view.fencingTokenOf(machine));
+        return this.soleContacts.isSoleContact(machine, heartbeat, token);
       default:
         return true;
     }
@@ -123,9 +132,10 @@
   }
 
   /** Logs when this controller stops answering agents as a holder, and when it answers them again. */
-  private logSuspension({ holding, session, isStateOutage }: ControllerStanding): void {
+  private logSuspension(standing: ControllerStanding): void {
+    const { holding, session } = standing;
     if (holding === 'none') return;
-    const isSuspended = session !== 'valid' && !isStateOutage;
+    const isSuspended = !mayActAsHolder(standing);
     if (isSuspended === this.isSuspended) return;
     this.isSuspended = isSuspended;
     const event = isSuspended ? LOG_EVENT.agentAnswersSuspended : LOG_EVENT.agentAnswersResumed;
--- a/src/core/agents/answer-basis.ts
+++ b/src/core/agents/answer-basis.ts
@@ -60,7 +60,13 @@
   return standing.isIsolated ? 'sole_contact' : null;
 }
 
-/** Whether no other controller can have acquired the shard since this one did. */
-function mayActAsHolder({ session, isStateOutage }: ControllerStanding): boolean {
+/**
+ * Whether a controller that holds a shard in its view may act as its holder: no other controller can have acquired the
+ * shard since, as far as this one can know.
+ */
+export function mayActAsHolder({
+  session,
+  isStateOutage,
+}: Pick<ControllerStanding, 'session' | 'isStateOutage'>): boolean {
   return session === 'valid' || (session === 'lapsed' && isStateOutage);
 }
